--- a/src/bin/tinreach-wirehost.rs
+++ b/src/bin/mallowring-drill.rs
@@ -5,10 +5,10 @@
 
 fn main() -> ExitCode {
     let output = BufWriter::new(io::stdout().lock());
-    match tinreach::wire::serve(io::stdin().lock(), output) {
+    match mallowring::wire::serve(io::stdin().lock(), output) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("tinreach-wirehost: {error}");
+            eprintln!("mallowring-drill: {error}");
             ExitCode::FAILURE
         }
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,8 +4,8 @@
 //! with the time, and carries out the [`interface::Action`]s it appends. It knows nothing but these events.
 //!
 //! ```
-//! use tinreach::interface::*;
-//! use tinreach::Controller;
+//! use mallowring::interface::*;
+//! use mallowring::Controller;
 //!
 //! # fn settings() -> Settings {
 //! #     let class = Class { name: "call".into(), aim: 1.2, give_up: 9.0, effect: Effect::Free, window: 5.0,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,8 +1,8 @@
 //! A small bench for one controller: settings, offices and calls made by hand.
 #![allow(dead_code)]
 
-use tinreach::interface::*;
-use tinreach::Controller;
+use mallowring::interface::*;
+use mallowring::Controller;
 
 pub const OWN: i64 = 0;
 
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use tinreach::interface::*;
+use mallowring::interface::*;
 
 const FARS: i64 = 40;
 
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use tinreach::interface::*;
+use mallowring::interface::*;
 
 /// The shares of the design: 0, 20, 80 and 100 % of normal first set-ups, none of the urgent ones.
 #[test]
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -2,7 +2,7 @@
 
 mod common;
 use common::*;
-use tinreach::interface::*;
+use mallowring::interface::*;
 
 #[test]
 fn rule_one_every_way_to_fail_ends_in_one_final_answer() {
@@ -207,7 +207,7 @@
 fn on_request_discovery_subscribes_and_tries_again_after_a_failure() {
     let mut with = settings();
     with.discovery = Discovery::OnRequest;
-    let mut controller = tinreach::Controller::new(with.clone(), 1);
+    let mut controller = mallowring::Controller::new(with.clone(), 1);
     let mut out = Vec::new();
     controller.start(Time(5.0), &mut out);
     assert_eq!(out, [Action::Subscribe]);
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -3,8 +3,8 @@
 use std::io::Write;
 use std::process::{Command, Stdio};
 
+use mallowring::wire::{serve, WireError};
 use serde_json::Value;
-use tinreach::wire::{serve, WireError};
 
 const CREATE: &str = r#"{"create":{"server":3,"seed":9,"facts":{"classes":[{"name":"a","target":1.2,"give_up":9.0,"semantics":"free","key_scope":"all","window":5.0,"worth":1.0,"late_value":0.25}],"discovery":"pushed","extra":{"allowed_pools":null,"class_width":[1],"mean_hold":[10.0],"network_form":"network","release":0.3,"retransmit":0.5,"self_no":0},"limits":{"max_attempts":6,"retry_after":true,"max_retry_after":2.0},"n_instances":4,"rules":{"cold_from":0.3,"fall":1.0,"fall_multiple":2.5,"warm_within":13.0},"telemetry":{"how":"piggyback","fields":["idle"]},"tick":0.005,"new_key":{"x":1}}}}"#;
 const MANIFEST: &str = r#"{"manifest":{"slot":0,"elements":[{"office":10,"az":"z","number":0,"condition":"on","weight":1},{"office":11,"az":"z","number":1,"condition":"on","weight":1},{"office":12,"az":"z","number":2,"condition":"on","weight":1,"ready_at":6.1}]}}"#;
@@ -119,7 +119,7 @@
 
 #[test]
 fn the_program_reports_a_bad_line_and_exits_with_an_error() {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_tinreach-wirehost"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_mallowring-drill"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
