--- /dev/null
+++ b/src/calls/table.rs
@@ -0,0 +1,475 @@
+//! The call table: every call from its request to its release, and the guards of the rules.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+use super::{Command, Far, Front, Input, Near, Reject, Request, SetUp, Wake};
+use crate::interface::*;
+use crate::logic::Controller;
+
+/// A final answer leaves this long before the caller stops waiting, so that it is whole in time.
+const MARGIN: Secs = 0.02;
+
+#[derive(Clone, Debug, PartialEq)]
+enum Stage {
+    /// No attempt is out and no answer is given.
+    Held,
+    /// One attempt is out.
+    Out { office: OfficeId, leg: u32, sent: Time },
+    /// The call stands.
+    Standing { office: OfficeId, leg: u32, sent: Time },
+}
+
+#[derive(Debug)]
+struct Call {
+    front: Front,
+    class: String,
+    number: String,
+    width: u32,
+    description: Arc<[u8]>,
+    deadline: Time,
+    attempts: u32,
+    not_before: Time,
+    stage: Stage,
+}
+
+/// All calls of one signalling proxy, and the module that decides on them.
+#[derive(Debug)]
+pub struct Table {
+    settings: Settings,
+    tenants: BTreeSet<String>,
+    controller: Controller,
+    calls: BTreeMap<CallId, Call>,
+    offices: BTreeMap<OfficeId, (Condition, Option<Time>)>,
+    /// Since when an exchange drains or is gone.
+    closed_at: BTreeMap<OfficeId, Time>,
+    numbers: BTreeSet<ExchangeNo>,
+    own_offices: BTreeSet<OfficeId>,
+    heard: BTreeSet<OfficeId>,
+    actions: Vec<Action>,
+}
+
+impl Table {
+    /// A table without calls. Where tenants are named, others are turned down.
+    pub fn new(settings: Settings, tenants: BTreeSet<String>, seed: u64, now: Time) -> Self {
+        let mut controller = Controller::new(settings.clone(), seed);
+        // Lists and states come unasked on real wires: what the module asks for at its start is under way.
+        controller.start(now, &mut Vec::new());
+        Table {
+            settings,
+            tenants,
+            controller,
+            calls: BTreeMap::new(),
+            offices: BTreeMap::new(),
+            closed_at: BTreeMap::new(),
+            numbers: BTreeSet::new(),
+            own_offices: BTreeSet::new(),
+            heard: BTreeSet::new(),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Calls that wait for a final answer.
+    pub fn open(&self) -> usize {
+        self.calls.values().filter(|c| !matches!(c.stage, Stage::Standing { .. })).count()
+    }
+
+    /// Calls that stand.
+    pub fn standing(&self) -> usize {
+        self.calls.len() - self.open()
+    }
+
+    /// The list is in, and the state of the trunk group to every exchange on it.
+    pub fn informed(&self) -> bool {
+        let mut on = self.offices.iter().filter(|(_, (c, _))| *c == Condition::On).map(|(id, _)| id);
+        !self.offices.is_empty() && on.all(|id| self.own_offices.contains(id) || self.heard.contains(id))
+    }
+
+    /// Takes one input and appends what is to be done, in order.
+    pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Command>) {
+        match input {
+            Input::Request(request) => self.on_request(now, request, out),
+            Input::GaveUp(id) => self.on_gave_up(now, id, out),
+            Input::Hangup(id) => self.on_hangup(now, id, out),
+            Input::Answered { id, office, leg, description } => {
+                self.on_answered(now, id, office, leg, description, out);
+            }
+            Input::Ended { id, office, leg, outcome, why, report } => {
+                self.on_ended(now, id, office, leg, (outcome, why, report), out);
+            }
+            Input::Released { id, office, whole, report } => {
+                self.on_released(now, id, office, whole, report, out);
+            }
+            Input::Status { office, report } => {
+                self.heard.insert(office);
+                self.decide(now, Event::Status { office, ok: true, took: 0.0, report }, out);
+            }
+            Input::Died(office) => self.on_died(now, office, now, out),
+            Input::List { whole, offices } => self.on_list(now, whole, offices, out),
+            Input::Woken(wake) => self.on_wake(now, wake, out),
+        }
+    }
+
+    fn on_request(&mut self, now: Time, request: Request, out: &mut Vec<Command>) {
+        let (id, front) = (request.id.clone(), request.front);
+        if self.calls.contains_key(&id) {
+            return out.push(Command::Log(format!("call {}: a second request with its id is ignored", id.0)));
+        }
+        let class = self.settings.classes.iter().position(|c| c.name == request.class);
+        let stranger = |t: &String| !self.tenants.is_empty() && !self.tenants.contains(t);
+        let reject = if class.is_none() {
+            Some(Reject::Class)
+        } else if request.tenant.as_ref().is_some_and(stranger) {
+            Some(Reject::Tenant)
+        } else if !self.numbers.is_empty() && !self.numbers.contains(&request.dest) {
+            Some(Reject::Destination)
+        } else {
+            None
+        };
+        if let Some(reject) = reject {
+            return out.push(Command::Near(front, id, Near::Reject(reject)));
+        }
+        let ttl = (request.ttl - MARGIN).max(0.0);
+        let call = Call {
+            front,
+            class: request.class,
+            number: request.number.clone(),
+            width: request.width,
+            description: request.description,
+            deadline: now + ttl,
+            attempts: 0,
+            not_before: now,
+            stage: Stage::Held,
+        };
+        out.push(Command::Wake(call.deadline, Wake::Deadline(id.clone())));
+        self.calls.insert(id, call);
+        let arrival = Arrival {
+            id: request.id,
+            ttl,
+            transit: request.transit,
+            hop: request.hop,
+            came_back: request.came_back,
+            width: request.width,
+            resent: request.resent,
+            dest: request.dest,
+            class: ClassIx(class.unwrap_or(0)),
+            number: Some(request.number),
+        };
+        self.decide(now, Event::Arrival(arrival), out);
+    }
+
+    /// The caller waits no longer: nothing is owed to it, and what is out for it is called off.
+    fn on_gave_up(&mut self, now: Time, id: CallId, out: &mut Vec<Command>) {
+        match self.calls.get(&id).map(|c| c.stage.clone()) {
+            Some(Stage::Out { office, leg, .. }) => {
+                out.push(Command::Far(office, id.clone(), Far::GiveUp { leg }));
+            }
+            Some(Stage::Held) => {}
+            // An answer crossed the caller's giving up: the call stands and nobody wants it.
+            Some(Stage::Standing { .. }) => {
+                let front = self.calls.get(&id).map(|c| c.front);
+                self.on_hangup(now, id.clone(), out);
+                out.extend(front.map(|f| Command::Near(f, id, Near::Release { whole: false })));
+                return;
+            }
+            None => return,
+        }
+        self.calls.remove(&id);
+        self.decide(now, Event::Withdrawn(id), out);
+    }
+
+    fn on_hangup(&mut self, now: Time, id: CallId, out: &mut Vec<Command>) {
+        let Some(Stage::Standing { office, leg, sent }) = self.calls.get(&id).map(|c| c.stage.clone()) else {
+            return self.on_gave_up_if_open(now, id, out);
+        };
+        self.calls.remove(&id);
+        out.push(Command::Far(office, id.clone(), Far::Release { leg: Some(leg) }));
+        let end = (Outcome::Cancelled, Why::Unsaid, Report::default());
+        self.tell_end(now, &id, (office, leg, sent), end, true, out);
+    }
+
+    /// A release of a call that does not stand yet can only mean that its caller wants no more of it.
+    fn on_gave_up_if_open(&mut self, now: Time, id: CallId, out: &mut Vec<Command>) {
+        if self.calls.contains_key(&id) {
+            self.on_gave_up(now, id, out);
+        }
+    }
+
+    fn on_answered(
+        &mut self,
+        now: Time,
+        id: CallId,
+        office: OfficeId,
+        leg: Option<u32>,
+        description: Arc<[u8]>,
+        out: &mut Vec<Command>,
+    ) {
+        let matches = |o: OfficeId, l: u32| o == office && leg.is_none_or(|leg| leg == l);
+        if let Some(call) = self.calls.get_mut(&id) {
+            match call.stage {
+                Stage::Out { office: o, leg, sent } if matches(o, leg) => {
+                    call.stage = Stage::Standing { office, leg, sent };
+                    out.push(Command::Near(call.front, id.clone(), Near::Answer(description)));
+                    return self.decide(now, Event::Stands { id, leg, office, took: now - sent }, out);
+                }
+                // Said twice.
+                Stage::Standing { office: o, leg, .. } if matches(o, leg) => return,
+                _ => {}
+            }
+        }
+        // It crossed our giving up: nobody is there to take it.
+        out.push(Command::Far(office, id, Far::Release { leg }));
+    }
+
+    fn on_ended(
+        &mut self,
+        now: Time,
+        id: CallId,
+        office: OfficeId,
+        leg: Option<u32>,
+        (outcome, why, report): (Outcome, Why, Report),
+        out: &mut Vec<Command>,
+    ) {
+        if let Some(call) = self.calls.get_mut(&id) {
+            if let Stage::Out { office: o, leg: l, sent } = call.stage {
+                if o == office && leg.is_none_or(|leg| leg == l) {
+                    call.stage = Stage::Held;
+                    if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+                        call.not_before = now + self.settings.release;
+                    }
+                    return self.tell_end(now, &id, (office, l, sent), (outcome, why, report), false, out);
+                }
+            }
+        }
+        if report != Report::default() {
+            self.decide(now, Event::Status { office, ok: true, took: 0.0, report }, out);
+        }
+    }
+
+    fn on_released(
+        &mut self,
+        now: Time,
+        id: CallId,
+        office: OfficeId,
+        whole: bool,
+        report: Report,
+        out: &mut Vec<Command>,
+    ) {
+        let standing = match self.calls.get(&id) {
+            Some(Call { stage: Stage::Standing { office: o, leg, sent }, front, .. }) if *o == office => {
+                Some((*front, *leg, *sent))
+            }
+            _ => None,
+        };
+        // An exchange says it on every connection, so that most come twice.
+        let Some((front, leg, sent)) = standing else { return };
+        self.calls.remove(&id);
+        out.push(Command::Near(front, id.clone(), Near::Release { whole }));
+        let outcome = if whole { Outcome::Ended } else { Outcome::Reset };
+        self.tell_end(now, &id, (office, leg, sent), (outcome, Why::Unsaid, report), true, out);
+    }
+
+    /// The process of an exchange has died: what was sent to it before a time is cut.
+    fn on_died(&mut self, now: Time, office: OfficeId, before: Time, out: &mut Vec<Command>) {
+        let there = |s: &Stage| match s {
+            Stage::Out { office: o, sent, .. } | Stage::Standing { office: o, sent, .. } => {
+                *o == office && *sent <= before
+            }
+            Stage::Held => false,
+        };
+        let hit: Vec<_> =
+            self.calls.iter().filter(|(_, c)| there(&c.stage)).map(|(id, _)| id.clone()).collect();
+        for id in hit {
+            self.on_released(now, id.clone(), office, false, Report::default(), out);
+            self.on_ended(now, id, office, None, (Outcome::Reset, Why::Unsaid, Report::default()), out);
+        }
+    }
+
+    fn on_list(&mut self, now: Time, whole: bool, offices: Vec<Office>, out: &mut Vec<Command>) {
+        let mut dead = Vec::new();
+        if whole {
+            for (id, held) in &mut self.offices {
+                if held.0 != Condition::Off && !offices.iter().any(|o| o.id == *id) {
+                    held.0 = Condition::Off;
+                    self.closed_at.entry(*id).or_insert(now);
+                    dead.push((*id, now));
+                }
+            }
+        }
+        for office in &offices {
+            self.numbers.insert(office.number);
+            if self.settings.own == Some(office.number) {
+                self.own_offices.insert(office.id);
+            }
+            let old = self.offices.insert(office.id, (office.condition, office.ready_at));
+            let restarted = old.is_some_and(|(_, at)| at != office.ready_at);
+            if office.condition == Condition::Off && old.is_some_and(|(c, _)| c != Condition::Off) {
+                dead.push((office.id, now));
+            } else if restarted {
+                dead.push((office.id, office.ready_at.unwrap_or(now)));
+            }
+            if office.condition == Condition::On {
+                self.closed_at.remove(&office.id);
+            } else {
+                self.closed_at.entry(office.id).or_insert(now);
+            }
+        }
+        let kind = if whole { ListKind::Full } else { ListKind::Changes };
+        self.decide(now, Event::List { kind, offices }, out);
+        for (office, before) in dead {
+            self.on_died(now, office, before, out);
+        }
+    }
+
+    fn on_wake(&mut self, now: Time, wake: Wake, out: &mut Vec<Command>) {
+        match wake {
+            Wake::Module(token) => self.decide(now, Event::Timer(token), out),
+            Wake::Abandon(id, leg) => {
+                let Some(Stage::Out { office, leg: l, .. }) = self.calls.get(&id).map(|c| c.stage.clone())
+                else {
+                    return;
+                };
+                if leg == l {
+                    out.push(Command::Far(office, id.clone(), Far::GiveUp { leg }));
+                    let end = (Outcome::TimedOut, Why::Unsaid, Report::default());
+                    self.on_ended(now, id, office, Some(leg), end, out);
+                }
+            }
+            Wake::Deadline(id) => match self.calls.get(&id).map(|c| (c.front, c.stage.clone())) {
+                None | Some((_, Stage::Standing { .. })) => {}
+                Some((front, stage)) => {
+                    if let Stage::Out { office, leg, .. } = stage {
+                        out.push(Command::Far(office, id.clone(), Far::GiveUp { leg }));
+                    }
+                    self.calls.remove(&id);
+                    out.push(Command::Near(front, id.clone(), Near::Refuse(None)));
+                    self.decide(now, Event::Withdrawn(id), out);
+                }
+            },
+        }
+    }
+
+    fn tell_end(
+        &mut self,
+        now: Time,
+        id: &CallId,
+        (office, leg, sent): (OfficeId, u32, Time),
+        (outcome, why, report): (Outcome, Why, Report),
+        closed: bool,
+        out: &mut Vec<Command>,
+    ) {
+        let took = now - sent;
+        let answer =
+            Answer { id: id.clone(), leg, office, outcome, took, why, named_wait: None, closed, report };
+        self.decide(now, Event::Answer(answer), out);
+    }
+
+    /// Hands an event to the module and carries its actions out; a refused send is one more event.
+    fn decide(&mut self, now: Time, event: Event, out: &mut Vec<Command>) {
+        let mut events = vec![event];
+        while let Some(event) = events.pop() {
+            let mut actions = std::mem::take(&mut self.actions);
+            self.controller.handle(now, event, &mut actions);
+            for action in actions.drain(..) {
+                events.extend(self.act(now, action, out));
+            }
+            self.actions = actions;
+        }
+    }
+
+    fn act(&mut self, now: Time, action: Action, out: &mut Vec<Command>) -> Option<Event> {
+        match action {
+            Action::Attempt { id, office, abandon_at } => {
+                return self.attempt(now, id, office, abandon_at, out)
+            }
+            Action::Refuse { id, cool_down } => self.conclude(id, Near::Refuse(cool_down), out),
+            Action::Fail(id) => self.conclude(id, Near::Fail, out),
+            Action::Cancel { id, leg } => {
+                let Some(Stage::Out { office, leg: l, .. }) = self.calls.get(&id).map(|c| c.stage.clone())
+                else {
+                    return None;
+                };
+                if l == leg {
+                    out.push(Command::Far(office, id.clone(), Far::GiveUp { leg }));
+                    let end = (Outcome::Cancelled, Why::Unsaid, Report::default());
+                    self.on_ended(now, id, office, Some(leg), end, out);
+                }
+            }
+            Action::Timer { after, token } => out.push(Command::Wake(now + after, Wake::Module(token))),
+            Action::Log(text) => out.push(Command::Log(text)),
+            // The deployment allows neither probes nor messages, and pushes its list.
+            Action::Probe(_) | Action::Tell { .. } | Action::Subscribe | Action::Pull => {}
+        }
+        None
+    }
+
+    /// Sends one attempt unless a rule forbids it: then it never leaves and the module hears so.
+    fn attempt(
+        &mut self,
+        now: Time,
+        id: CallId,
+        office: OfficeId,
+        abandon_at: Time,
+        out: &mut Vec<Command>,
+    ) -> Option<Event> {
+        let most = self.settings.max_attempts.max(1);
+        let shut = self.closed_at.get(&office).is_some_and(|at| now - *at >= self.settings.drain_grace);
+        let own = self.own_offices.contains(&office);
+        let call = self.calls.get_mut(&id)?;
+        let leg = call.attempts;
+        call.attempts += 1;
+        let forbidden = if call.stage != Stage::Held {
+            Some("an attempt is out or the call stands")
+        } else if leg >= most {
+            Some("no attempt is left")
+        } else if now < call.not_before {
+            Some("the release is awaited")
+        } else if shut || !self.offices.contains_key(&office) {
+            Some("the exchange drains or is gone")
+        } else if own {
+            Some("it is the own exchange")
+        } else {
+            None
+        };
+        if let Some(why) = forbidden {
+            out.push(Command::Log(format!("call {}: attempt {leg} held back: {why}", id.0)));
+            return Some(Event::Answer(Answer {
+                id,
+                leg,
+                office,
+                outcome: Outcome::Moot,
+                took: 0.0,
+                why: Why::Unsaid,
+                named_wait: None,
+                closed: false,
+                report: Report::default(),
+            }));
+        }
+        let until = if abandon_at.0 > 0.0 && abandon_at < call.deadline { abandon_at } else { call.deadline };
+        call.stage = Stage::Out { office, leg, sent: now };
+        let set_up = SetUp {
+            leg,
+            class: call.class.clone(),
+            number: call.number.clone(),
+            width: call.width,
+            description: call.description.clone(),
+            until,
+        };
+        out.push(Command::Wake(until, Wake::Abandon(id.clone(), leg)));
+        out.push(Command::Far(office, id, Far::SetUp(set_up)));
+        None
+    }
+
+    fn conclude(&mut self, id: CallId, near: Near, out: &mut Vec<Command>) {
+        let Some(call) = self.calls.get(&id) else { return };
+        match call.stage {
+            Stage::Standing { .. } => return,
+            Stage::Out { office, leg, .. } => {
+                out.push(Command::Far(office, id.clone(), Far::GiveUp { leg }));
+            }
+            Stage::Held => {}
+        }
+        out.push(Command::Near(call.front, id.clone(), near));
+        self.calls.remove(&id);
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,8 +32,12 @@
 //! assert!(matches!(&actions[..], [Action::Attempt { office: OfficeId(71), .. }]));
 //! ```
 
+pub mod calls;
+pub mod config;
 pub mod interface;
 pub mod logic;
+pub mod net;
+pub mod sip;
 pub mod wire;
 
 pub use logic::Controller;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -165,7 +165,7 @@
         };
         if let Some(wait) = report.wait.or(queued) {
             // A report that stops moving is old: it keeps the time at which it last changed.
-            if self.reported.map_or(true, |(old, _)| old != wait) {
+            if self.reported.is_none_or(|(old, _)| old != wait) {
                 self.reported = Some((wait, now));
                 self.news = true;
             }
@@ -617,7 +617,7 @@
     }
 
     fn room(far: &Far, width: u32, kept: f64) -> bool {
-        far.free.map_or(true, |free| free - kept >= f64::from(width))
+        far.free.is_none_or(|free| free - kept >= f64::from(width))
     }
 
     /// Direct while the group has room, else over a tandem.
@@ -898,7 +898,7 @@
         }
         let class = self.settings.classes.get(call.arrival.class.0);
         let refusable = call.may_have_run.is_none()
-            || class.map_or(true, |c| matches!(c.effect, Effect::Free | Effect::Guarded(Scope::All)));
+            || class.is_none_or(|c| matches!(c.effect, Effect::Free | Effect::Guarded(Scope::All)));
         out.push(if refusable {
             // A call refused early may yet stand in its aim if the caller is back soon; only a number whose
             // lines are all busy is better left alone.
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,26 @@
+//! Runs one real signalling proxy.
+
+use std::process::ExitCode;
+
+use mallowring::config::Config;
+use mallowring::net;
+
+fn main() -> ExitCode {
+    let env = std::env::vars().collect();
+    let config = match Config::read(&env) {
+        Ok(config) => config,
+        Err(error) => {
+            eprintln!("mallowring: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let log = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false);
+    log.with_max_level(config.log).init();
+    match net::run(config) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            tracing::error!(%error, "the signalling proxy can't run");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/src/net/engine.rs
@@ -0,0 +1,185 @@
+//! The actor of the module: holds the call table, hears all other actors and sends its commands out.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use smol::channel::{Receiver, Sender};
+use smol::Timer;
+
+use super::bulletin::Listed;
+use super::clock::{Alarm, Clock};
+use super::peer::{self, PeerMail};
+use super::platform::FrontMail;
+use super::{post, Tasks};
+use crate::calls::{Command, Far, Front, Input, Table};
+use crate::interface::*;
+
+/// A test passes after this time even if a state is still missing.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// After SIGTERM requests keep coming for a while.
+const LINGER: Secs = 1.0;
+const LOOK: Duration = Duration::from_millis(50);
+
+/// What the actor is told.
+#[derive(Debug)]
+pub enum EngineMail {
+    /// Something for the core.
+    Input(Input),
+    /// News of the exchanges.
+    List {
+        /// The whole list, or changes.
+        whole: bool,
+        /// Its lines.
+        listed: Vec<Listed>,
+    },
+    /// States have been waited for long enough.
+    Patience,
+    /// The program is to end once no call is left.
+    Drain,
+    /// A look at whether any is.
+    Look,
+}
+
+/// The actor's state.
+pub struct Engine {
+    /// The call table.
+    pub table: Table,
+    /// Its clock.
+    pub clock: Clock,
+    /// Where new actors start.
+    pub tasks: Tasks,
+    /// The proxy's name.
+    pub name: String,
+    /// How long a connection may take to come up.
+    pub connect_timeout: Secs,
+    /// The own exchange.
+    pub own: Option<ExchangeNo>,
+    /// The own mailbox.
+    pub mailbox: Sender<EngineMail>,
+    /// The clock's actor.
+    pub alarms: Sender<Alarm<EngineMail>>,
+    /// The platform's front.
+    pub platform: Sender<FrontMail>,
+}
+
+impl Engine {
+    /// Runs until the program has drained.
+    pub async fn run(mut self, mail: Receiver<EngineMail>) {
+        let mut peers: BTreeMap<OfficeId, Sender<PeerMail>> = BTreeMap::new();
+        let mut commands = Vec::new();
+        let (mut ready, mut patient, mut drain_at) = (false, true, None);
+        self.later(PATIENCE, || EngineMail::Patience);
+        while let Ok(mail) = mail.recv().await {
+            let now = self.clock.now();
+            match mail {
+                EngineMail::Input(input) => self.table.handle(now, input, &mut commands),
+                EngineMail::List { whole, listed } => {
+                    tracing::info!(whole, lines = listed.len(), "list");
+                    let gone = self.follow(whole, &listed, &mut peers);
+                    let offices = listed.into_iter().map(|l| l.office).collect();
+                    self.table.handle(now, Input::List { whole, offices }, &mut commands);
+                    self.carry_out(&mut commands, &peers).await;
+                    for office in gone {
+                        if let Some(peer) = peers.remove(&office) {
+                            let _ = peer.try_send(PeerMail::Condition(Condition::Off));
+                        }
+                    }
+                }
+                EngineMail::Patience => patient = false,
+                EngineMail::Drain => {
+                    tracing::info!(open = self.table.open(), standing = self.table.standing(), "draining");
+                    drain_at = drain_at.or(Some(now));
+                    self.later(LOOK, || EngineMail::Look);
+                }
+                EngineMail::Look => {
+                    let waited = drain_at.is_some_and(|at| now - at >= LINGER);
+                    if waited && self.table.open() + self.table.standing() == 0 {
+                        tracing::info!("drained");
+                        return;
+                    }
+                    self.later(LOOK, || EngineMail::Look);
+                }
+            }
+            self.carry_out(&mut commands, &peers).await;
+            if !ready && (self.table.informed() || !patient) {
+                ready = true;
+                tracing::info!(informed = self.table.informed(), "ready");
+                let _ = self.platform.try_send(FrontMail::Ready);
+            }
+        }
+    }
+
+    fn later(&self, after: Duration, mail: fn() -> EngineMail) {
+        let mailbox = self.mailbox.clone();
+        let wait = async move {
+            Timer::after(after).await;
+            post(&mailbox, mail()).await;
+        };
+        self.tasks.spawn(wait).detach();
+    }
+
+    /// Starts an actor for every new exchange and tells the others; returns those that are gone.
+    fn follow(
+        &self,
+        whole: bool,
+        listed: &[Listed],
+        peers: &mut BTreeMap<OfficeId, Sender<PeerMail>>,
+    ) -> Vec<OfficeId> {
+        let mut gone = Vec::new();
+        for Listed { office, addr } in listed {
+            let id = office.id;
+            match office.condition {
+                Condition::Off => gone.push(id),
+                condition if self.own != Some(office.number) => {
+                    let peer = peers.entry(id).or_insert_with(|| {
+                        let (clock, engine) = (self.clock, self.mailbox.clone());
+                        peer::start(&self.tasks, id, *addr, &self.name, self.connect_timeout, clock, engine)
+                    });
+                    let _ = peer.try_send(PeerMail::Condition(condition));
+                }
+                _ => {}
+            }
+        }
+        if whole {
+            gone.extend(peers.keys().filter(|id| !listed.iter().any(|l| l.office.id == **id)));
+        }
+        gone
+    }
+
+    async fn carry_out(&mut self, commands: &mut Vec<Command>, peers: &BTreeMap<OfficeId, Sender<PeerMail>>) {
+        // A command that can't be delivered may bring more.
+        while !commands.is_empty() {
+            for command in std::mem::take(commands) {
+                match command {
+                    Command::Near(Front::Platform, id, near) => {
+                        if self.platform.try_send(FrontMail::Near(id, near)).is_err() {
+                            tracing::error!("the front's mailbox is full: an answer is lost");
+                        }
+                    }
+                    Command::Near(Front::Sip, ..) => {}
+                    Command::Far(office, id, far) => {
+                        let set_up = match &far {
+                            Far::SetUp(set_up) => Some(set_up.leg),
+                            _ => None,
+                        };
+                        let mail = PeerMail::Command(id.clone(), far);
+                        let sent = peers.get(&office).is_some_and(|peer| peer.try_send(mail).is_ok());
+                        if let (false, Some(leg)) = (sent, set_up) {
+                            tracing::warn!(office = office.0, "no way to an exchange: its set-up never left");
+                            let (outcome, why) = (Outcome::ConnectFailed, Why::Unsaid);
+                            let (leg, report) = (Some(leg), Report::default());
+                            let input = Input::Ended { id, office, leg, outcome, why, report };
+                            self.table.handle(self.clock.now(), input, commands);
+                        }
+                    }
+                    Command::Wake(at, wake) => {
+                        if self.alarms.try_send((at, EngineMail::Input(Input::Woken(wake)))).is_err() {
+                            tracing::error!("the clock's mailbox is full: an alarm is lost");
+                        }
+                    }
+                    Command::Log(text) => tracing::warn!("{text}"),
+                }
+            }
+        }
+    }
+}
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -286,7 +286,15 @@
     T::deserialize(body).map_err(|source| WireError::Fields { name: name.to_owned(), source })
 }
 
-fn report(stats: &BTreeMap<String, f64>) -> Report {
+/// Reads the settings of an instance, as they stand under `facts`, naming the key at fault.
+pub(crate) fn read_settings(
+    facts: &Value,
+) -> Result<Settings, serde_path_to_error::Error<serde_json::Error>> {
+    serde_path_to_error::deserialize::<_, FactsW>(facts).map(settings)
+}
+
+/// A load report by the names of the wire.
+pub(crate) fn report(stats: &BTreeMap<String, f64>) -> Report {
     let get = |key: &str| stats.get(key).copied().filter(|v| v.is_finite() && *v >= 0.0);
     Report {
         free: get("idle"),
