--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,106 @@
+//! Configuration: what is read, and that every error names the key at fault.
+
+use std::collections::BTreeMap;
+
+use mallowring::config::{Config, ConfigError};
+use serde_json::{json, Value};
+
+fn node() -> Value {
+    json!({"name": "n3", "listen": "127.0.0.1:2905", "seed": "8c1f30d27a5be964",
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "bulletin": "127.0.0.1:9092", "known": {"no": 3, "items": []},
+        "settings": {"classes": [{"name": "a", "target": 2.0, "give_up": 9.0}], "n_instances": 4,
+            "limits": {"connect_timeout": 0.25}, "tenants": [{"name": "acme", "portion": 0.5}]}})
+}
+
+/// Reads with a file of this content under the given variable.
+fn read(variable: &str, content: &str, more: &[(&str, &str)]) -> Result<Config, ConfigError> {
+    let dir = std::env::temp_dir();
+    let unique = format!("{:?}", std::thread::current().id()).replace(['(', ')'], "-");
+    let path = dir.join(format!("mallowring-config-{}-{unique}", std::process::id()));
+    std::fs::write(&path, content).expect("a file");
+    let mut env = BTreeMap::from([(variable.to_owned(), path.display().to_string())]);
+    env.extend(more.iter().map(|(k, v)| ((*k).to_owned(), (*v).to_owned())));
+    let config = Config::read(&env);
+    std::fs::remove_file(&path).expect("the file is there");
+    config
+}
+
+#[test]
+fn the_platforms_file_is_read_and_the_environment_goes_first() {
+    let config = read("NODE_CONFIG", &node().to_string(), &[("NODE_LISTEN", "127.0.0.2:1")]).expect("fine");
+    let platform = config.platform.expect("the platform's front is on");
+    assert_eq!(platform.listen.to_string(), "127.0.0.2:1");
+    assert_eq!((config.name.as_str(), config.seed, platform.known_no), ("n3", 0x8c1f_30d2_7a5b_e964, 3));
+    assert_eq!(config.connect_timeout, 0.25);
+    assert!(config.tenants.contains("acme"));
+    assert!(config.sip.is_none(), "off on the platform");
+}
+
+#[test]
+fn an_error_names_the_key() {
+    let cases: [(&str, Value); 9] = [
+        ("/seed", json!("xyz")),
+        ("/listen", json!("nowhere")),
+        ("/bulletin", json!(7)),
+        ("/known/no", json!("three")),
+        ("/limits/sockets", json!(5)),
+        ("/settings/classes/0/target", json!("soon")),
+        ("/settings/classes", json!([])),
+        ("/settings/limits/connect_timeout", json!(-1)),
+        ("/settings/tenants/0/name", json!(null)),
+    ];
+    for (pointer, value) in cases {
+        let mut node = node();
+        *node.pointer_mut(pointer).expect("the key is there") = value;
+        let error = read("NODE_CONFIG", &node.to_string(), &[]).expect_err(pointer).to_string();
+        // The last name of the path, as messages write indices their own way.
+        let key = pointer.rsplit('/').next().expect("a name");
+        assert!(error.contains(key), "{pointer}: {error}");
+    }
+    let error =
+        |env: &[(&str, &str)]| read("NODE_CONFIG", &node().to_string(), env).expect_err("bad").to_string();
+    assert!(error(&[("MALLOWRING_LOG", "loud")]).contains("MALLOWRING_LOG"));
+    assert!(error(&[("NODE_LISTEN", "here")]).contains("NODE_LISTEN"));
+    assert!(Config::read(&BTreeMap::new()).expect_err("nothing").to_string().contains("NODE_CONFIG"));
+    let mut missing = node();
+    missing.as_object_mut().expect("an object").remove("bulletin");
+    assert!(read("NODE_CONFIG", &missing.to_string(), &[])
+        .expect_err("bad")
+        .to_string()
+        .contains("bulletin"));
+}
+
+#[test]
+fn the_service_file_of_the_repository_is_fine_and_its_errors_name_the_key() {
+    let text = std::fs::read_to_string("deploy/service.toml").expect("the file");
+    let config = read("MALLOWRING_SERVICE", &text, &[]).expect("fine");
+    assert!(config.platform.is_none());
+    assert_eq!(config.sip.expect("on").exchanges.len(), 2);
+    let cases = [
+        ("transport = \"udp\"", "transport = \"smoke\"", "sip.exchanges[1].transport"),
+        ("prefixes = [\"5021\"]", "prefixes = []", "sip.exchanges[0].prefixes"),
+        ("urgent_class = \"event-alert\"", "urgent_class = \"none\"", "sip.urgent_class"),
+        ("circuits = 40", "circuits = \"many\"", "sip.exchanges[0].circuits"),
+        ("circuits = 40", "circuits = 40\nunknown = 1", "unknown"),
+        ("n_instances = 3", "", "n_instances"),
+        ("name = \"sismored\"", "name = ", "TOML"),
+    ];
+    for (old, new, key) in cases {
+        assert!(text.contains(old), "{old}");
+        let error = read("MALLOWRING_SERVICE", &text.replace(old, new), &[]).expect_err(key).to_string();
+        assert!(error.contains(key), "{key}: {error}");
+    }
+}
+
+/// The program itself: bad configuration ends it with a failure that names the key.
+#[test]
+fn the_program_does_not_start_on_bad_configuration() {
+    let out = std::process::Command::new(env!("CARGO_BIN_EXE_mallowring"))
+        .env_clear()
+        .env("NODE_CONFIG", "/nonexistent/config.json")
+        .output()
+        .expect("it runs");
+    assert!(!out.status.success());
+    assert!(String::from_utf8_lossy(&out.stderr).contains("/nonexistent/config.json"));
+}
