Add the tenants' API and NETCONF on one store that the fronts obey

Seen: tenants were a fixed set of names. src/calls/tenants.rs is now the one store (suspended, most calls, counts), held by the module's actor; src/admin speaks HTTP/JSON with scoped tokens and NETCONF 1.0 and 1.1 over mutual TLS on yang/mallowring-tenants.yang. Off unless the service file has an [admin] section. Checked: tests/admin.rs by stand-in clients: a suspension by either interface turns SIP calls down with 403, a tenant's token sees itself only, edits are all or nothing, locks keep the API out, changes hold beyond a restart.

--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -5,6 +5,7 @@
 //! fronts: one final answer, one attempt at a time, the pause after a time-out, reset or cancel, drains.
 
 mod table;
+pub mod tenants;
 pub mod wheel;
 
 use std::sync::Arc;
--- a/src/calls/table.rs
+++ b/src/calls/table.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
+use super::tenants::{Counts, Tenants};
 use super::{Command, Far, Front, Input, Near, Reject, Request, SetUp, Wake};
 use crate::interface::*;
 use crate::logic::Controller;
@@ -23,6 +24,7 @@
 #[derive(Debug)]
 struct Call {
     front: Front,
+    tenant: Option<String>,
     class: String,
     number: String,
     width: u32,
@@ -37,7 +39,7 @@
 #[derive(Debug)]
 pub struct Table {
     settings: Settings,
-    tenants: BTreeSet<String>,
+    tenants: Tenants,
     controller: Controller,
     calls: BTreeMap<CallId, Call>,
     offices: BTreeMap<OfficeId, (Condition, Option<Time>)>,
@@ -50,8 +52,8 @@
 }
 
 impl Table {
-    /// A table without calls. Where tenants are named, others are turned down.
-    pub fn new(settings: Settings, tenants: BTreeSet<String>, seed: u64, now: Time) -> Self {
+    /// A table without calls.
+    pub fn new(settings: Settings, tenants: Tenants, seed: u64, now: Time) -> Self {
         let mut controller = Controller::new(settings.clone(), seed);
         // Lists and states come unasked on real wires: what the module asks for at its start is under way.
         controller.start(now, &mut Vec::new());
@@ -69,6 +71,26 @@
         }
     }
 
+    /// The tenants.
+    pub fn tenants(&self) -> &Tenants {
+        &self.tenants
+    }
+
+    /// The tenants, to change them: it counts from the next request on.
+    pub fn tenants_mut(&mut self) -> &mut Tenants {
+        &mut self.tenants
+    }
+
+    /// Forgets a call and counts what became of it.
+    fn forget(&mut self, id: &CallId, count: impl FnOnce(&mut Counts)) -> Option<Call> {
+        let call = self.calls.remove(id)?;
+        self.tenants.count(call.tenant.as_ref(), |counts| {
+            counts.present = counts.present.saturating_sub(1);
+            count(counts);
+        });
+        Some(call)
+    }
+
     /// Calls that wait for a final answer.
     pub fn open(&self) -> usize {
         self.calls.values().filter(|c| !matches!(c.stage, Stage::Standing { .. })).count()
@@ -116,22 +138,33 @@
             return out.push(Command::Log(format!("call {}: a second request with its id is ignored", id.0)));
         }
         let class = self.settings.classes.iter().position(|c| c.name == request.class);
-        let stranger = |t: &String| !self.tenants.is_empty() && !self.tenants.contains(t);
         let reject = if class.is_none() {
             Some(Reject::Class)
-        } else if request.tenant.as_ref().is_some_and(stranger) {
+        } else if !self.tenants.admits(request.tenant.as_ref()) {
             Some(Reject::Tenant)
         } else if !self.numbers.is_empty() && !self.numbers.contains(&request.dest) {
             Some(Reject::Destination)
         } else {
             None
         };
+        let tenant = request.tenant;
         if let Some(reject) = reject {
+            self.tenants.count(tenant.as_ref(), |counts| counts.rejected += 1);
             return out.push(Command::Near(front, id, Near::Reject(reject)));
         }
+        if self.tenants.is_full(tenant.as_ref()) {
+            self.tenants.count(tenant.as_ref(), |counts| counts.refused += 1);
+            let wait = self.settings.cool_down.then_some(self.settings.max_cool_down);
+            return out.push(Command::Near(front, id, Near::Refuse(wait)));
+        }
+        self.tenants.count(tenant.as_ref(), |counts| {
+            counts.taken += 1;
+            counts.present += 1;
+        });
         let ttl = (request.ttl - MARGIN).max(0.0);
         let call = Call {
             front,
+            tenant,
             class: request.class,
             number: request.number.clone(),
             width: request.width,
@@ -174,7 +207,7 @@
             }
             None => return,
         }
-        self.calls.remove(&id);
+        self.forget(&id, |counts| counts.given_up += 1);
         self.decide(now, Event::Withdrawn(id), out);
     }
 
@@ -182,7 +215,7 @@
         let Some(Stage::Standing { office, leg, sent }) = self.calls.get(&id).map(|c| c.stage.clone()) else {
             return self.on_gave_up_if_open(now, id, out);
         };
-        self.calls.remove(&id);
+        self.forget(&id, |_| {});
         out.push(Command::Far(office, id.clone(), Far::Release { leg: Some(leg) }));
         let end = (Outcome::Cancelled, Why::Unsaid, Report::default());
         self.tell_end(now, &id, (office, leg, sent), end, true, out);
@@ -209,6 +242,7 @@
             match call.stage {
                 Stage::Out { office: o, leg, sent } if matches(o, leg) => {
                     call.stage = Stage::Standing { office, leg, sent };
+                    self.tenants.count(call.tenant.as_ref(), |counts| counts.stood += 1);
                     out.push(Command::Near(call.front, id.clone(), Near::Answer(description)));
                     return self.decide(now, Event::Stands { id, leg, office, took: now - sent }, out);
                 }
@@ -263,7 +297,7 @@
         };
         // An exchange says it on every connection, so that most come twice.
         let Some((front, leg, sent)) = standing else { return };
-        self.calls.remove(&id);
+        self.forget(&id, |_| {});
         out.push(Command::Near(front, id.clone(), Near::Release { whole }));
         let outcome = if whole { Outcome::Ended } else { Outcome::Reset };
         self.tell_end(now, &id, (office, leg, sent), (outcome, Why::Unsaid, report), true, out);
@@ -344,7 +378,7 @@
                 let Some(Call { front, stage: Stage::Held, .. }) = self.calls.get(&id) else { return };
                 let wait = self.settings.cool_down.then_some(self.settings.max_cool_down);
                 out.push(Command::Near(*front, id.clone(), Near::Refuse(wait)));
-                self.calls.remove(&id);
+                self.forget(&id, |counts| counts.refused += 1);
                 self.decide(now, Event::Withdrawn(id), out);
             }
         }
@@ -470,7 +504,8 @@
             }
             Stage::Held => {}
         }
+        let failed = near == Near::Fail;
         out.push(Command::Near(call.front, id.clone(), near));
-        self.calls.remove(&id);
+        self.forget(&id, |counts| *(if failed { &mut counts.failed } else { &mut counts.refused }) += 1);
     }
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,13 +1,21 @@
 //! The one place where configuration is read, checked and given defaults. Its errors name the key at fault.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::sync::Arc;
 
+use futures_rustls::rustls::pki_types::pem::PemObject;
+use futures_rustls::rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use futures_rustls::rustls::server::WebPkiClientVerifier;
+use futures_rustls::rustls::{RootCertStore, ServerConfig};
 use serde::Deserialize;
 use serde_json::Value;
 use thiserror::Error;
 
+use crate::admin::http::{Scope, Token};
+use crate::admin::netconf::Client;
+use crate::calls::tenants::Tenant;
 use crate::interface::{ExchangeNo, OfficeId, Secs, Settings};
 use crate::sip::agent::Exchange;
 use crate::sip::header::{Hop, Transport};
@@ -59,8 +67,10 @@
     pub sip: Option<Sip>,
     /// The settings of the module.
     pub settings: Settings,
-    /// The tenants' names.
-    pub tenants: BTreeSet<String>,
+    /// The administration; off where the environment names no service file or that has none.
+    pub admin: Option<Admin>,
+    /// The tenants.
+    pub tenants: Vec<Tenant>,
     /// How long a connection to an exchange may take to come up.
     pub connect_timeout: Secs,
     /// The least severe log lines to write.
@@ -91,6 +101,17 @@
     pub exchanges: Vec<Exchange>,
 }
 
+/// The administration's interfaces.
+#[derive(Debug)]
+pub struct Admin {
+    /// The file that keeps the tenants beyond a restart.
+    pub store: Option<PathBuf>,
+    /// The tenants' API: where it listens, and the tokens.
+    pub http: Option<(SocketAddr, Vec<Token>)>,
+    /// NETCONF: where it listens, how TLS is spoken, who may come in.
+    pub netconf: Option<(SocketAddr, Arc<ServerConfig>, Vec<Client>)>,
+}
+
 #[derive(Deserialize)]
 struct NodeW {
     name: Option<String>,
@@ -124,6 +145,7 @@
 struct ServiceW {
     name: Option<String>,
     sip: Option<SipW>,
+    admin: Option<AdminW>,
     settings: Option<Value>,
 }
 
@@ -145,6 +167,45 @@
     circuits: u32,
 }
 
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct AdminW {
+    store: Option<PathBuf>,
+    http: Option<HttpW>,
+    netconf: Option<NetconfW>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct HttpW {
+    listen: SocketAddr,
+    tokens: Vec<TokenW>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct TokenW {
+    file: PathBuf,
+    tenant: Option<String>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct NetconfW {
+    listen: SocketAddr,
+    certificate: PathBuf,
+    key: PathBuf,
+    authority: PathBuf,
+    clients: Vec<ClientW>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct ClientW {
+    name: String,
+    certificate: PathBuf,
+}
+
 /// The descriptors taken to be allowed where nothing tells.
 const SOCKETS: usize = 1024;
 /// The time for a connection to come up where the settings do not tell.
@@ -197,9 +258,13 @@
         if settings.classes.is_empty() {
             return Err(source.fault("settings.classes", "no class of call"));
         }
-        let tenants: Vec<TenantW> = match facts.get("tenants") {
+        let mut tenants: Vec<Tenant> = match facts.get("tenants") {
             None | Some(Value::Null) => Vec::new(),
-            Some(list) => source.read("settings.tenants", list)?,
+            Some(list) => {
+                let named: Vec<TenantW> = source.read("settings.tenants", list)?;
+                let plain = |t: TenantW| Tenant { name: t.name, suspended: false, max_calls: None };
+                named.into_iter().map(plain).collect()
+            }
         };
         let connect_timeout = match facts.pointer("/limits/connect_timeout") {
             None | Some(Value::Null) => CONNECT_TIMEOUT,
@@ -214,6 +279,17 @@
             (Some(sip), Some(source)) => Some(read_sip(source, sip, &settings)?),
             _ => None,
         };
+        let admin = match (service.admin, &service_source) {
+            (Some(admin), Some(source)) => Some(read_admin(source, admin)?),
+            _ => None,
+        };
+        let kept = admin.as_ref().and_then(|admin| admin.store.as_ref()).filter(|path| path.exists());
+        if let Some(path) = kept {
+            let source = Source(path);
+            let value: Value = serde_json::from_str(&source.text()?)
+                .map_err(|e| source.fault(format!("line {}", e.line()), e.to_string()))?;
+            tenants = source.read("", &value)?;
+        }
         let log = match env.get("MALLOWRING_LOG") {
             None => tracing::Level::INFO,
             Some(text) => text.parse().map_err(|_| {
@@ -248,8 +324,7 @@
             let (known_no, known) = (node.known.no, node.known.items);
             platform = Some(Platform { listen, bulletin: node.bulletin, known_no, known });
         }
-        let tenants = tenants.into_iter().map(|t| t.name).collect();
-        Ok(Config { name, seed, sockets, platform, sip, settings, tenants, connect_timeout, log })
+        Ok(Config { name, seed, sockets, platform, sip, admin, settings, tenants, connect_timeout, log })
     }
 }
 
@@ -264,6 +339,72 @@
     source.read("", &value)
 }
 
+fn read_admin(source: &Source, admin: AdminW) -> Result<Admin, ConfigError> {
+    let http = match admin.http {
+        None => None,
+        Some(http) if !http.listen.ip().is_loopback() => {
+            let what = format!("{} is no loopback address, and tokens travel in clear", http.listen);
+            return Err(source.fault("admin.http.listen", what));
+        }
+        Some(http) => {
+            let token = |(ix, token): (usize, TokenW)| {
+                let key = format!("admin.http.tokens[{ix}].file");
+                let text = std::fs::read_to_string(&token.file)
+                    .map_err(|e| source.fault(&key, format!("{}: {e}", token.file.display())))?;
+                let secret = text.trim().to_owned();
+                if secret.len() < 16 {
+                    return Err(source.fault(key, "a token has 16 characters at least"));
+                }
+                Ok(Token { secret, scope: token.tenant.map_or(Scope::Operator, Scope::Tenant) })
+            };
+            let tokens = http.tokens.into_iter().enumerate().map(token).collect::<Result<_, _>>()?;
+            Some((http.listen, tokens))
+        }
+    };
+    let netconf = admin.netconf.map(|netconf| read_netconf(source, netconf)).transpose()?;
+    Ok(Admin { store: admin.store, http, netconf })
+}
+
+fn read_netconf(
+    source: &Source,
+    netconf: NetconfW,
+) -> Result<(SocketAddr, Arc<ServerConfig>, Vec<Client>), ConfigError> {
+    let bad = |key: String, path: &Path, what: &dyn std::fmt::Display| {
+        source.fault(key, format!("{}: {what}", path.display()))
+    };
+    let key = |name: &str| format!("admin.netconf.{name}");
+    let chain = |key: String, path: &Path| {
+        let read = CertificateDer::pem_file_iter(path).and_then(Iterator::collect::<Result<Vec<_>, _>>);
+        match read {
+            Ok(chain) if chain.is_empty() => Err(bad(key, path, &"no certificate in it")),
+            other => other.map_err(|e| bad(key, path, &e)),
+        }
+    };
+    let own = chain(key("certificate"), &netconf.certificate)?;
+    let private =
+        PrivateKeyDer::from_pem_file(&netconf.key).map_err(|e| bad(key("key"), &netconf.key, &e))?;
+    let mut roots = RootCertStore::empty();
+    for certificate in chain(key("authority"), &netconf.authority)? {
+        roots.add(certificate).map_err(|e| bad(key("authority"), &netconf.authority, &e))?;
+    }
+    let provider = Arc::new(futures_rustls::rustls::crypto::ring::default_provider());
+    let verifier = WebPkiClientVerifier::builder_with_provider(Arc::new(roots), provider.clone()).build();
+    let verifier = verifier.map_err(|e| bad(key("authority"), &netconf.authority, &e))?;
+    let tls = ServerConfig::builder_with_provider(provider)
+        .with_safe_default_protocol_versions()
+        .map_err(|e| bad(key("certificate"), &netconf.certificate, &e))?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(own, private)
+        .map_err(|e| bad(key("key"), &netconf.key, &e))?;
+    let client = |(ix, client): (usize, ClientW)| {
+        let key = key(&format!("clients[{ix}].certificate"));
+        let certificate = chain(key, &client.certificate)?.remove(0);
+        Ok(Client { name: client.name, certificate })
+    };
+    let clients = netconf.clients.into_iter().enumerate().map(client).collect::<Result<_, _>>()?;
+    Ok((netconf.listen, Arc::new(tls), clients))
+}
+
 fn read_sip(source: &Source, sip: SipW, settings: &Settings) -> Result<Sip, ConfigError> {
     if !settings.classes.iter().any(|c| c.name == sip.urgent_class) {
         let what = format!("'{}' is no class of the settings", sip.urgent_class);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -32,6 +32,7 @@
 //! assert!(matches!(&actions[..], [Action::Attempt { office: OfficeId(71), .. }]));
 //! ```
 
+pub mod admin;
 pub mod calls;
 pub mod config;
 pub mod interface;
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -12,6 +12,7 @@
 use super::platform::FrontMail;
 use super::sip::SipMail;
 use super::{post, Tasks};
+use crate::calls::tenants::{Change, ChangeError, Counts, Tenant};
 use crate::calls::{Command, Far, Front, Input, Table};
 use crate::interface::*;
 
@@ -33,6 +34,10 @@
         /// Its lines.
         listed: Vec<Listed>,
     },
+    /// The administration looks at the tenants.
+    Tenants(Sender<Vec<(Tenant, Counts)>>),
+    /// The administration changes them.
+    Change(Vec<Change>, Sender<Result<(), ChangeError>>),
     /// States have been waited for long enough.
     Patience,
     /// The program is to end once no call is left.
@@ -93,6 +98,14 @@
                         }
                     }
                 }
+                EngineMail::Tenants(reply) => {
+                    // Whoever asked may have left.
+                    let _ = reply.try_send(self.table.tenants().list());
+                }
+                EngineMail::Change(changes, reply) => {
+                    tracing::info!(?changes, "tenants changed");
+                    let _ = reply.try_send(self.table.tenants_mut().change(&changes));
+                }
                 EngineMail::Patience => patient = false,
                 EngineMail::Drain => {
                     tracing::info!(open = self.table.open(), standing = self.table.standing(), "draining");
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -21,6 +21,8 @@
 use smol::stream::StreamExt;
 use smol::{future, Async, LocalExecutor, Timer};
 
+use crate::admin::{self, Store};
+use crate::calls::tenants::Tenants;
 use crate::calls::Table;
 use crate::config::Config;
 use crate::sip::agent::{ClassOfCall, Setup};
@@ -50,6 +52,8 @@
     config: Config,
     platform: Option<TcpListener>,
     sip: Option<(UdpSocket, TcpListener)>,
+    http: Option<TcpListener>,
+    netconf: Option<TcpListener>,
     stop: (Sender<()>, Receiver<()>),
 }
 
@@ -59,7 +63,11 @@
         let listen = |addr: SocketAddr| Async::<std::net::TcpListener>::bind(addr).map(TcpListener::from);
         let platform = config.platform.as_ref().map(|p| listen(p.listen)).transpose()?;
         let sip = config.sip.as_ref().map(|s| bind_both(s.listen)).transpose()?;
-        Ok(Node { config, platform, sip, stop: bounded(1) })
+        let http = config.admin.as_ref().and_then(|a| a.http.as_ref());
+        let http = http.map(|(addr, _)| listen(*addr)).transpose()?;
+        let netconf = config.admin.as_ref().and_then(|a| a.netconf.as_ref());
+        let netconf = netconf.map(|(addr, ..)| listen(*addr)).transpose()?;
+        Ok(Node { config, platform, sip, http, netconf, stop: bounded(1) })
     }
 
     /// Where the SIP front listens.
@@ -72,6 +80,16 @@
         self.platform.as_ref().and_then(|tcp| tcp.local_addr().ok())
     }
 
+    /// Where the tenants' API listens.
+    pub fn http_addr(&self) -> Option<SocketAddr> {
+        self.http.as_ref().and_then(|tcp| tcp.local_addr().ok())
+    }
+
+    /// Where NETCONF listens.
+    pub fn netconf_addr(&self) -> Option<SocketAddr> {
+        self.netconf.as_ref().and_then(|tcp| tcp.local_addr().ok())
+    }
+
     /// Something to be sent to tell the program to drain and end, as SIGTERM does.
     pub fn stopper(&self) -> Sender<()> {
         self.stop.0.clone()
@@ -85,7 +103,7 @@
     }
 
     async fn serve(self, tasks: Tasks) -> io::Result<()> {
-        let Node { config, platform, sip, stop } = self;
+        let Node { config, platform, sip, http, netconf, stop } = self;
         let clock = clock::Clock::system();
         let mut signals = Signals::new([Signal::Term, Signal::Int])?;
         let (engine, engine_mail) = bounded(MAILBOX);
@@ -137,6 +155,16 @@
             sip_front = Some(mailbox);
         }
         tasks.spawn(clock::run(clock, alarm_mail, engine.clone(), sip_front.clone())).detach();
+        if let Some(admin) = config.admin {
+            let store = Rc::new(Store::new(engine.clone(), admin.store));
+            if let (Some(listener), Some((_, tokens))) = (http, admin.http) {
+                tasks.spawn(admin::http::run(tasks.clone(), listener, store.clone(), tokens)).detach();
+            }
+            if let (Some(listener), Some((_, tls, clients))) = (netconf, admin.netconf) {
+                let server = admin::netconf::Server { tasks: tasks.clone(), store, tls, clients };
+                tasks.spawn(server.run(listener)).detach();
+            }
+        }
         let drain = engine.clone();
         let signalled = async move {
             while signals.next().await.is_some() {
@@ -153,7 +181,7 @@
         tasks.spawn(told).detach();
         let own = config.settings.own;
         let module = engine::Engine {
-            table: Table::new(config.settings, config.tenants, config.seed, clock.now()),
+            table: Table::new(config.settings, Tenants::new(config.tenants), config.seed, clock.now()),
             clock,
             tasks,
             name: config.name,
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -1,10 +1,10 @@
 //! The core by itself: a scripted call from request to release, and the guards of the rules.
 
 mod common;
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
 use common::{office, settings};
+use mallowring::calls::tenants::{Change, Tenant, Tenants};
 use mallowring::calls::{Command, Far, Front, Input, Near, Reject, Request, Table, Wake};
 use mallowring::interface::*;
 
@@ -16,7 +16,8 @@
 impl Core {
     /// A table that has heard of exchanges 0 (its own) to 4, with 30 free circuits to each.
     fn new() -> Core {
-        let tenants = BTreeSet::from(["acme".to_owned()]);
+        let acme = Tenant { name: "acme".into(), suspended: false, max_calls: None };
+        let tenants = Tenants::new([acme]);
         let mut core = Core {
             table: Table::new(Settings { max_attempts: 4, ..settings() }, tenants, 7, Time(1000.0)),
             now: 1000.0,
@@ -234,3 +235,27 @@
     assert!((1..=4).contains(&sent), "{sent}");
     assert_eq!(finals, 1);
 }
+
+/// Guards the service: what the administration changes counts from the next request on.
+#[test]
+fn a_tenant_is_held_to_its_limit_and_a_suspended_one_is_turned_down() {
+    let mut core = Core::new();
+    let set = |core: &mut Core, suspended, max_calls| {
+        let change =
+            Change::Set { name: "acme".into(), suspended: Some(suspended), max_calls: Some(max_calls) };
+        core.table.tenants_mut().change(&[change]).expect("it is there");
+    };
+    set(&mut core, false, Some(1));
+    let id = core.standing("a");
+    assert!(matches!(nears(&core.put(Input::Request(core.request("b"))))[..], [Near::Refuse(Some(_))]));
+    core.put(Input::Hangup(id));
+    core.call("c");
+    set(&mut core, true, None);
+    let out = core.put(Input::Request(core.request("d")));
+    assert_eq!(nears(&out), [Near::Reject(Reject::Tenant)]);
+    let (_, counts) = core.table.tenants().list().remove(0);
+    assert_eq!(
+        (counts.taken, counts.stood, counts.refused, counts.rejected, counts.present),
+        (2, 1, 1, 1, 1)
+    );
+}
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -1,5 +1,6 @@
 //! Every parser on random cuts of valid input and on random garbage, from fixed seeds.
 
+use mallowring::admin::{http, netconf, xml};
 use mallowring::net::bulletin::List;
 use mallowring::sip::header::{self, Uri, Via};
 use mallowring::sip::message::{Framer, Message};
@@ -104,6 +105,55 @@
     });
 }
 
+#[test]
+fn http_requests() {
+    let valid = b"PATCH /v1/tenants/acme?x HTTP/1.1\r\nAuthorization: Bearer abc\r\nContent-Length: 4\r\n\r\nnullGET / HTTP/1.0\r\n\r\n";
+    try_out(valid, |pieces| {
+        let (mut held, mut read) = (Vec::new(), Vec::new());
+        for piece in pieces {
+            held.extend_from_slice(piece);
+            loop {
+                match http::parse(&held) {
+                    Ok(Some((request, length))) => {
+                        read.push(format!("{request:?}"));
+                        held.drain(..length);
+                    }
+                    Ok(None) => break,
+                    Err(response) => return format!("{read:?} {response:?}"),
+                }
+            }
+        }
+        read.concat()
+    });
+}
+
+#[test]
+fn netconf_messages_and_their_xml() {
+    let rpc = r#"<rpc message-id="1" xmlns="urn:ietf:params:xml:ns:netconf:base:1.0"><get><filter type='subtree'>
+        <t:tenants xmlns:t="urn:mallowring:tenants"><t:tenant><t:name>a&amp;b<![CDATA[<]]></t:name></t:tenant></t:tenants>
+        </filter></get><!-- end --></rpc>"#;
+    for chunked in [false, true] {
+        let mut writer = netconf::Framer::default();
+        writer.chunked = chunked;
+        let valid = [writer.frame(rpc), writer.frame("<a/>")].concat();
+        try_out(&valid, |pieces| {
+            let (mut framer, mut read) = (netconf::Framer::default(), Vec::new());
+            framer.chunked = chunked;
+            for piece in pieces {
+                framer.push(piece);
+                loop {
+                    match framer.pull() {
+                        Ok(Some(message)) => read.push(format!("{:?}", xml::read(&message))),
+                        Ok(None) => break,
+                        Err(what) => return format!("{read:?} {what}"),
+                    }
+                }
+            }
+            read.concat()
+        });
+    }
+}
+
 /// Guards the framing: only lost bounds end a stream; an overlong body and a message that makes no sense do not.
 #[test]
 fn only_lost_bounds_end_a_stream() {
--- a/tests/sip_loopback.rs
+++ b/tests/sip_loopback.rs
@@ -3,15 +3,12 @@
 
 mod standin;
 
-use std::collections::BTreeMap;
 use std::sync::mpsc;
 use std::thread;
 
-use mallowring::config::Config;
-use mallowring::net::Node;
 use mallowring::sip::header::Transport;
 use mallowring::sip::message::Message;
-use standin::{Caller, Exchange};
+use standin::{swap, Caller, Exchange, Proxy};
 
 const MIXES: [(Transport, Transport); 4] = [
     (Transport::Udp, Transport::Udp),
@@ -24,49 +21,10 @@
 /// the module learns from one moves no other.
 const SCRIPTS: [&str; 9] = ["answer", "hangup", "cut", "busy", "full", "error", "reset", "silent", "cancel"];
 
-/// A proxy with the SIP front on, in a thread of its own; dropped, it drains and ends.
-struct Proxy {
-    addr: std::net::SocketAddr,
-    stop: smol::channel::Sender<()>,
-    thread: Option<thread::JoinHandle<std::io::Result<()>>>,
-}
-
-impl Proxy {
-    fn start(exchange: &Exchange, transport: Transport) -> Proxy {
-        let mut text = std::fs::read_to_string("deploy/service.toml").expect("the service file");
-        let (head, rest) = text.split_once("[[sip.exchanges]]").expect("an exchange");
-        let (_, settings) = rest.split_once("[settings]").expect("settings");
-        let mut exchanges = String::new();
-        for (ix, script) in SCRIPTS.iter().enumerate() {
-            exchanges += &format!(
-                "[[sip.exchanges]]\nnumber = {}\nprefixes = [\"{script}\"]\naddress = \"{}\"\n\
-                 transport = \"{}\"\ncircuits = 9\n",
-                ix + 1,
-                exchange.addr,
-                transport.name()
-            );
-        }
-        text = format!("{}{exchanges}[settings]{settings}", head.replace("127.0.0.1:5060", "127.0.0.1:0"));
-        let name = format!("mallowring-{}-{}.toml", std::process::id(), exchange.addr.port());
-        let path = std::env::temp_dir().join(name);
-        std::fs::write(&path, text).expect("a file of settings");
-        let env = BTreeMap::from([("MALLOWRING_SERVICE".to_owned(), path.display().to_string())]);
-        let config = Config::read(&env).expect("settings that can be read");
-        std::fs::remove_file(&path).expect("the file is there");
-        let node = Node::bind(config).expect("sockets");
-        let (addr, stop) = (node.sip_addr().expect("the SIP front is on"), node.stopper());
-        Proxy { addr, stop, thread: Some(thread::spawn(|| node.run())) }
-    }
-}
-
-impl Drop for Proxy {
-    fn drop(&mut self) {
-        let _ = self.stop.try_send(());
-        let ended = self.thread.take().map(thread::JoinHandle::join);
-        if !thread::panicking() {
-            ended.expect("it was started").expect("no panic").expect("it drained");
-        }
-    }
+/// A proxy that knows one exchange for each script, all of them the stand-in.
+fn proxy(exchange: &Exchange, transport: Transport) -> Proxy {
+    let entry = |(ix, script): (usize, &&str)| exchange.entry(ix + 1, script, transport);
+    Proxy::start(&SCRIPTS.iter().enumerate().map(entry).collect::<String>(), "")
 }
 
 /// Plays one script and tells what the caller and the exchange saw.
@@ -107,7 +65,7 @@
         .iter()
         .map(|(near, far)| {
             let exchange = Exchange::start();
-            let proxy = Proxy::start(&exchange, *far);
+            let proxy = proxy(&exchange, *far);
             SCRIPTS.iter().map(|script| play(&proxy, &exchange, *near, script)).collect()
         })
         .collect();
@@ -145,7 +103,7 @@
 fn a_udp_retransmission_after_a_tcp_reset_makes_no_second_attempt() {
     for far in [Transport::Udp, Transport::Tcp] {
         let exchange = Exchange::start();
-        let proxy = Proxy::start(&exchange, far);
+        let proxy = proxy(&exchange, far);
         let mut caller = Caller::new(proxy.addr, Transport::Tcp);
         let invite = caller.invite("answer-when-told", 5000, b"offer");
         caller.send(&invite);
@@ -173,7 +131,7 @@
     for (first, then) in [(Transport::Udp, Transport::Tcp), (Transport::Tcp, Transport::Udp)] {
         for far in [Transport::Udp, Transport::Tcp] {
             let exchange = Exchange::start();
-            let proxy = Proxy::start(&exchange, far);
+            let proxy = proxy(&exchange, far);
             let mut caller = Caller::new(proxy.addr, first);
             let invite = caller.invite("answer", 5000, b"offer");
             caller.send(&invite);
@@ -190,7 +148,7 @@
 #[test]
 fn what_can_not_be_done_is_answered_for_good() {
     let exchange = Exchange::start();
-    let proxy = Proxy::start(&exchange, Transport::Udp);
+    let proxy = proxy(&exchange, Transport::Udp);
     type Spoil = fn(&mut Message);
     let cases: [(Spoil, u16); 8] = [
         (|m| swap(m, "X-Tier", "no-such-class"), 488),
@@ -228,7 +186,7 @@
 #[test]
 fn malformed_messages_get_400_on_a_stream_and_nothing_as_datagrams() {
     let exchange = Exchange::start();
-    let proxy = Proxy::start(&exchange, Transport::Udp);
+    let proxy = proxy(&exchange, Transport::Udp);
     let bad = b"INVITE sip:x SIP/3.0\r\nCall-ID: c-9\r\nCSeq: 1 INVITE\r\nContent-Length: 3\r\n\r\nabc";
     let mut caller = Caller::new(proxy.addr, Transport::Tcp);
     caller.raw(bad);
@@ -252,7 +210,7 @@
 #[test]
 fn a_caller_that_never_reads_stops_nobody() {
     let exchange = Exchange::start();
-    let proxy = Proxy::start(&exchange, Transport::Udp);
+    let proxy = proxy(&exchange, Transport::Udp);
     let (done, finished) = mpsc::channel();
     let addr = proxy.addr;
     thread::spawn(move || {
@@ -272,8 +230,3 @@
     assert_eq!(outcome.first().map(String::as_str), Some("caller: 200"));
     finished.recv().expect("the deaf caller ends as well");
 }
-
-fn swap(message: &mut Message, name: &str, value: &str) {
-    message.headers.retain(|(n, _)| n != name);
-    message.headers.push((name.to_owned(), value.to_owned()));
-}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -9,6 +9,8 @@
 use std::thread;
 use std::time::Duration;
 
+use mallowring::config::Config;
+use mallowring::net::Node;
 use mallowring::sip::header::{self, Transport};
 use mallowring::sip::message::{Framer, Message, Start, MOST};
 
@@ -20,6 +22,50 @@
     NEXT.fetch_add(1, Ordering::Relaxed)
 }
 
+/// Gives a header another value.
+pub fn swap(message: &mut Message, name: &str, value: &str) {
+    message.headers.retain(|(n, _)| n != name);
+    message.headers.push((name.to_owned(), value.to_owned()));
+}
+
+/// A proxy of the repository's service file on free ports, in a thread of its own; dropped, it drains and ends.
+pub struct Proxy {
+    pub addr: SocketAddr,
+    pub http: Option<SocketAddr>,
+    pub netconf: Option<SocketAddr>,
+    stop: smol::channel::Sender<()>,
+    thread: Option<thread::JoinHandle<std::io::Result<()>>>,
+}
+
+impl Proxy {
+    /// With these exchanges in place of the file's, and more sections.
+    pub fn start(exchanges: &str, more: &str) -> Proxy {
+        let text = std::fs::read_to_string("deploy/service.toml").expect("the service file");
+        let (head, rest) = text.split_once("[[sip.exchanges]]").expect("an exchange");
+        let (_, settings) = rest.split_once("[settings]").expect("settings");
+        let head = head.replace("127.0.0.1:5060", "127.0.0.1:0");
+        let path = std::env::temp_dir().join(format!("mallowring-{}-{}.toml", std::process::id(), fresh()));
+        std::fs::write(&path, format!("{head}{exchanges}{more}\n[settings]{settings}")).expect("a file");
+        let env = BTreeMap::from([("MALLOWRING_SERVICE".to_owned(), path.display().to_string())]);
+        let config = Config::read(&env);
+        std::fs::remove_file(&path).expect("the file is there");
+        let node = Node::bind(config.expect("settings that can be read")).expect("sockets");
+        let (addr, stop) = (node.sip_addr().expect("the SIP front is on"), node.stopper());
+        let (http, netconf) = (node.http_addr(), node.netconf_addr());
+        Proxy { addr, http, netconf, stop, thread: Some(thread::spawn(|| node.run())) }
+    }
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.stop.try_send(());
+        let ended = self.thread.take().map(thread::JoinHandle::join);
+        if !thread::panicking() {
+            ended.expect("it was started").expect("no panic").expect("it drained");
+        }
+    }
+}
+
 /// One way that messages travel.
 enum Line {
     Udp(UdpSocket, SocketAddr),
@@ -284,6 +330,16 @@
         Exchange { addr, state }
     }
 
+    /// Its entry in a service file.
+    pub fn entry(&self, number: usize, prefix: &str, transport: Transport) -> String {
+        format!(
+            "[[sip.exchanges]]\nnumber = {number}\nprefixes = [\"{prefix}\"]\naddress = \"{}\"\n\
+             transport = \"{}\"\ncircuits = 9\n",
+            self.addr,
+            transport.name()
+        )
+    }
+
     fn until<T>(&self, what: &str, look: impl Fn(&mut State) -> Option<T>) -> T {
         let mut state = self.state.0.lock().expect("no panic");
         loop {
