Test the platform's front on loopback: releases, dead exchanges, bulletin, draining

tests/platform_loopback.rs plays callers, one exchange and the bulletin: the test passes only with states in, descriptions go back byte for byte, releases find any open connection or the next, a dead exchange's calls are released as cut, a silent bulletin is asked again with 'after N', a draining program serves until its calls are over.

--- /dev/null
+++ b/tests/platform_loopback.rs
@@ -0,0 +1,345 @@
+//! The platform's front on loopback sockets, with stand-ins for callers, one exchange and the bulletin.
+
+mod standin;
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread::{self, JoinHandle};
+
+use mallowring::config::Config;
+use mallowring::net::Node;
+use mallowring::sip::header::Transport;
+use mallowring::sip::message::Message;
+use serde_json::{json, Value};
+use standin::Line;
+
+fn listener() -> TcpListener {
+    TcpListener::bind("127.0.0.1:0").expect("a socket")
+}
+
+fn addr_of(listener: &TcpListener) -> SocketAddr {
+    listener.local_addr().expect("an address")
+}
+
+/// A connection of the proxy's to a stand-in.
+fn taken(listener: &TcpListener) -> Line {
+    Line::of(listener.accept().expect("the proxy connects").0)
+}
+
+struct Bench {
+    proxy: SocketAddr,
+    stop: smol::channel::Sender<()>,
+    thread: JoinHandle<std::io::Result<()>>,
+    exchange: TcpListener,
+    bulletin: TcpListener,
+}
+
+fn event(no: u64, reset: bool, lifecycle: &str, exchange: SocketAddr) -> Value {
+    let line = |id: &str, cell: u32, state: &str| {
+        json!({"instanceId": id, "hostPort": exchange.to_string(), "zone": "z", "machineType": "m", "cell": cell,
+            "lifecycle": state, "weight": 1, "startedAtMs": 0})
+    };
+    let mut instances = vec![line("s-far", 1, lifecycle)];
+    if reset {
+        instances.push(line("s-own", 0, "ready"));
+    }
+    json!({"no": no, "roster": {"generation": no, "reset": reset, "instances": instances}})
+}
+
+impl Bench {
+    /// A proxy of exchange 0 that knows exchange 1.
+    fn start() -> Bench {
+        let (exchange, bulletin) = (listener(), listener());
+        let class = json!({"name": "voice", "target": 2.0, "give_up": 9.0, "worth": 1.0});
+        let urgent = json!({"name": "alarm", "target": 2.0, "give_up": 9.0, "worth": 8.0});
+        let config = json!({"name": "n0", "listen": "127.0.0.1:0", "seed": "1", "bulletin": addr_of(&bulletin),
+            "known": {"no": 3, "items": [event(3, true, "ready", addr_of(&exchange))]},
+            "settings": {"classes": [class, urgent], "n_instances": 2, "tenants": [{"name": "acme"}],
+                "extra": {"release": 0.3, "self_no": 0, "class_width": [1, 1]},
+                "limits": {"max_attempts": 4, "retry_after": true, "max_retry_after": 2.0},
+                "rules": {"drain_grace": 0.5}, "telemetry": {"how": "piggyback"}}});
+        let name = format!("mallowring-{}-{}.json", std::process::id(), addr_of(&bulletin).port());
+        let path = std::env::temp_dir().join(name);
+        std::fs::write(&path, config.to_string()).expect("a file");
+        let env = BTreeMap::from([("NODE_CONFIG".to_owned(), path.display().to_string())]);
+        let config = Config::read(&env);
+        std::fs::remove_file(&path).expect("the file is there");
+        let node = Node::bind(config.expect("fine")).expect("sockets");
+        let (proxy, stop) = (node.platform_addr().expect("it is on"), node.stopper());
+        Bench { proxy, stop, thread: thread::spawn(|| node.run()), exchange, bulletin }
+    }
+
+    /// The connection to the exchange, once the state of its group is told.
+    fn peer(&self) -> Line {
+        let mut peer = taken(&self.exchange);
+        peer.say(&notify());
+        let mut caller = self.caller();
+        while caller.test() != Some(200) {
+            thread::yield_now();
+        }
+        peer
+    }
+
+    fn caller(&self) -> Line {
+        Line::connect(self.proxy, Transport::Tcp)
+    }
+
+    /// Tells the program to end and waits for it.
+    fn end(self) {
+        self.stop.try_send(()).expect("it runs");
+        self.thread.join().expect("no panic").expect("it drained");
+    }
+}
+
+fn notify() -> Message {
+    Message::request("NOTIFY", "sip:proxy@net")
+        .with("Call-ID", "state")
+        .with("CSeq", "1 NOTIFY")
+        .with("X-Gauges", "idle:12;circuits:40;reduce:-1;avg_ms:-1")
+}
+
+fn invite(id: &str) -> Message {
+    let mut message = Message::request("INVITE", "sip:7f3a9c21e0b4d655@net")
+        .with("Via", "SIP/2.0/TCP peer")
+        .with("Call-ID", id)
+        .with("CSeq", "1 INVITE")
+        .with("X-Tier", "alarm")
+        .with("X-Tenant", "acme")
+        .with("X-Deadline", 5000)
+        .with("X-Attrs", "dest:1;width:1;via:-1");
+    message.body = b"offer\r\n\0\xff".to_vec();
+    message
+}
+
+fn bye(id: &str, cause: u32) -> Message {
+    let message = Message::request("BYE", "sip:x@net").with("Call-ID", id).with("CSeq", "2 BYE");
+    message.with("Reason", format!("Q.850;cause={cause}"))
+}
+
+trait Speaks {
+    fn say(&mut self, message: &Message);
+    fn hear(&mut self, what: &str) -> Message;
+    fn test(&mut self) -> Option<u16>;
+    fn stand(&mut self, peer: &mut Line, id: &str);
+}
+
+impl Speaks for Line {
+    fn say(&mut self, message: &Message) {
+        assert!(self.send(&message.bytes()), "it could not be sent");
+    }
+
+    /// The next message, which is a request of this method or a response of this code.
+    fn hear(&mut self, what: &str) -> Message {
+        let message = self.receive().expect("a message");
+        let said = message.method().map_or_else(|| message.status().unwrap_or(0).to_string(), str::to_owned);
+        assert_eq!(said, what, "{message:?}");
+        message
+    }
+
+    fn test(&mut self) -> Option<u16> {
+        let options =
+            Message::request("OPTIONS", "sip:ping@net").with("Call-ID", "t").with("CSeq", "1 OPTIONS");
+        self.say(&options);
+        self.receive().expect("an answer").status()
+    }
+
+    /// Sets a call of this caller's up at an exchange.
+    fn stand(&mut self, peer: &mut Line, id: &str) {
+        self.say(&invite(id));
+        let mut success = Message::response(200, "OK", &peer.hear("INVITE").headers);
+        success.body = b"answer\0\xff\r\n\r\n".to_vec();
+        peer.say(&success);
+        peer.hear("ACK");
+        assert_eq!(self.hear("200").body, success.body, "byte for byte");
+    }
+}
+
+#[test]
+fn a_test_passes_only_once_the_states_of_all_groups_are_in() {
+    let bench = Bench::start();
+    let mut peer = taken(&bench.exchange);
+    assert_eq!(bench.caller().test(), Some(503));
+    peer.say(&notify());
+    let mut caller = bench.caller();
+    while caller.test() != Some(200) {
+        thread::yield_now();
+    }
+    bench.end();
+}
+
+#[test]
+fn a_call_goes_through_unchanged_and_its_release_comes_back_once() {
+    let bench = Bench::start();
+    let mut peer = bench.peer();
+    let mut caller = bench.caller();
+    caller.say(&invite("9b1f03aa5c7e2d41"));
+    let seen = peer.hear("INVITE");
+    assert_eq!((seen.get("Call-ID"), seen.get("X-Tier")), (Some("9b1f03aa5c7e2d41"), Some("alarm")));
+    assert_eq!((seen.start.clone(), seen.body.as_slice()), (invite("").start, &b"offer\r\n\0\xff"[..]));
+    let left: u32 = seen.get("X-Deadline").and_then(|v| v.parse().ok()).expect("a number");
+    assert!(left <= 2000, "not longer than the aim: {left}");
+    peer.say(&Message::response(503, "Full", &seen.headers).with("X-Outcome", "overload"));
+    peer.hear("ACK");
+    let refusal = caller.hear("503");
+    assert!(refusal.get("X-Cooldown").and_then(|v| v.parse::<u32>().ok()).is_some_and(|ms| ms > 0));
+    drop(caller);
+    bench.end();
+}
+
+/// Guards rule one: a release may come on any connection, and twice; the caller may have changed its own.
+#[test]
+fn a_release_finds_its_caller_on_whatever_connection_is_open() {
+    let bench = Bench::start();
+    let mut peer = bench.peer();
+    let mut caller = bench.caller();
+    caller.stand(&mut peer, "a");
+    drop(caller);
+    peer.say(&bye("a", 16));
+    peer.hear("200");
+    peer.say(&bye("a", 16));
+    peer.hear("200");
+    // No connection was open: the next one gets it, first of all and once.
+    let mut caller = bench.caller();
+    let release = caller.hear("BYE");
+    assert_eq!((release.get("Call-ID"), release.get("Reason")), (Some("a"), Some("Q.850;cause=16")));
+    assert_eq!(caller.test(), Some(200));
+    // The caller's own release, on another connection than its set-up's.
+    caller.stand(&mut peer, "b");
+    let mut other = bench.caller();
+    other.say(&bye("b", 16));
+    other.hear("200");
+    assert_eq!(peer.hear("BYE").get("Call-ID"), Some("b"));
+    bench.end();
+}
+
+/// Guards rule one when a process dies: its connection is reset and no new one comes up, so its standing calls
+/// are released to their callers as cut, and its set-ups end.
+#[test]
+fn the_calls_of_a_dead_exchange_are_released_to_their_callers() {
+    let bench = Bench::start();
+    let mut peer = bench.peer();
+    let mut caller = bench.caller();
+    caller.stand(&mut peer, "stands");
+    caller.say(&invite("out"));
+    peer.hear("INVITE");
+    let Bench { proxy: _, stop, thread, exchange, bulletin } = bench;
+    drop((exchange, peer));
+    let mut ends = [caller.receive().expect("an end"), caller.receive().expect("an end")];
+    ends.sort_by_key(|m| m.status());
+    assert_eq!((ends[0].method(), ends[0].get("Reason")), (Some("BYE"), Some("Q.850;cause=41")));
+    assert_eq!((ends[1].status(), ends[1].get("Call-ID")), (Some(503), Some("out")));
+    stop.try_send(()).expect("it runs");
+    thread.join().expect("no panic").expect("it drained");
+    drop(bulletin);
+}
+
+/// Guards rule one at the other end: what a caller no longer wants is called off, and an answer that crosses is
+/// released, not left standing.
+#[test]
+fn a_caller_that_leaves_calls_its_set_ups_off() {
+    let bench = Bench::start();
+    let mut peer = bench.peer();
+    for id in ["a", "b"] {
+        let mut caller = bench.caller();
+        caller.say(&invite(id));
+        let seen = peer.hear("INVITE");
+        match id {
+            "a" => drop(caller),
+            _ => caller
+                .say(&Message::request("CANCEL", "sip:x@net").with("Call-ID", id).with("CSeq", "1 CANCEL")),
+        }
+        assert_eq!(peer.hear("CANCEL").get("Call-ID"), Some(id));
+        peer.say(&Message::response(200, "OK", &seen.headers));
+        peer.hear("ACK");
+        assert_eq!(peer.hear("BYE").get("Call-ID"), Some(id));
+    }
+    bench.end();
+}
+
+/// Guards against a list that stops: silence on the bulletin's connection ends it, and the next one asks for
+/// what came since.
+#[test]
+fn the_bulletin_is_followed_over_a_silent_connection_and_drains_are_kept() {
+    let bench = Bench::start();
+    let mut peer = bench.peer();
+    let asked = || {
+        let stream = bench.bulletin.accept().expect("the proxy connects").0;
+        let mut line = String::new();
+        BufReader::new(stream.try_clone().expect("a handle")).read_line(&mut line).expect("a line");
+        (stream, line)
+    };
+    let (mut stream, line): (TcpStream, String) = asked();
+    assert_eq!(line, "after 3\n");
+    let drains = event(4, false, "draining", addr_of(&bench.exchange));
+    writeln!(stream, "3\n{drains}\n4").expect("it is sent");
+    let mut caller = bench.caller();
+    // Until it is told a call may still go out, and is answered there; then all are refused.
+    thread::spawn(move || {
+        while let Some(message) = peer.receive() {
+            if message.method() == Some("INVITE") {
+                peer.say(&Message::response(200, "OK", &message.headers));
+            }
+        }
+    });
+    for n in 0.. {
+        let id = format!("call-{n}");
+        caller.say(&invite(&id));
+        if caller.receive().expect("an answer").status() == Some(503) {
+            break;
+        }
+        caller.say(&bye(&id, 16));
+        caller.hear("200");
+    }
+    let (_stream, line) = asked();
+    assert_eq!(line, "after 4\n");
+    bench.end();
+}
+
+#[test]
+fn bad_set_ups_are_answered_for_good_and_cost_no_connection() {
+    let bench = Bench::start();
+    let _peer = bench.peer();
+    let mut caller = bench.caller();
+    let cases = [
+        ("X-Tier", "none", "488"),
+        ("X-Tenant", "stranger", "403"),
+        ("X-Attrs", "dest:9", "404"),
+        ("X-Attrs", "width:1", "400"),
+        ("X-Deadline", "soon", "400"),
+    ];
+    for (name, value, status) in cases {
+        let mut message = invite("a");
+        standin::swap(&mut message, name, value);
+        caller.say(&message);
+        caller.hear(status);
+    }
+    assert!(
+        caller.send(b"INVITE sip:a@net SIP/9\r\nCall-ID: c\r\nCSeq: 1 INVITE\r\nContent-Length: 0\r\n\r\n")
+    );
+    caller.hear("400");
+    assert_eq!(caller.test(), Some(200));
+    // Where the bounds are lost the connection is closed, and only that one.
+    assert!(caller.send(b"INVITE sip:a@net SIP/2.0\r\nCall-ID: c\r\n\r\n"));
+    assert!(caller.receive().is_none());
+    assert_eq!(bench.caller().test(), Some(200));
+    bench.end();
+}
+
+/// Guards planned restarts: a program that is to end serves what still comes, until its last call is over.
+#[test]
+fn a_program_that_is_to_end_serves_until_its_calls_are_over() {
+    let bench = Bench::start();
+    let mut peer = bench.peer();
+    let mut caller = bench.caller();
+    caller.stand(&mut peer, "a");
+    bench.stop.try_send(()).expect("it runs");
+    let mut late = bench.caller();
+    late.stand(&mut peer, "b");
+    for id in ["a", "b"] {
+        peer.say(&bye(id, 16));
+    }
+    assert_eq!(caller.hear("BYE").get("Call-ID"), Some("a"));
+    assert_eq!(late.hear("BYE").get("Call-ID"), Some("b"));
+    bench.thread.join().expect("no panic").expect("it drained");
+}
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -67,27 +67,29 @@
 }
 
 /// One way that messages travel.
-enum Line {
+pub enum Line {
     Udp(UdpSocket, SocketAddr),
     Tcp(TcpStream, Framer),
 }
 
 impl Line {
-    fn connect(to: SocketAddr, transport: Transport) -> Line {
+    pub fn connect(to: SocketAddr, transport: Transport) -> Line {
         match transport {
             Transport::Udp => {
                 let socket = UdpSocket::bind("127.0.0.1:0").expect("a socket");
                 socket.set_read_timeout(Some(NEVER)).expect("a time limit");
                 Line::Udp(socket, to)
             }
-            Transport::Tcp => {
-                let stream = TcpStream::connect(to).expect("a connection");
-                stream.set_read_timeout(Some(NEVER)).expect("a time limit");
-                Line::Tcp(stream, Framer::default())
-            }
+            Transport::Tcp => Line::of(TcpStream::connect(to).expect("a connection")),
         }
     }
 
+    /// A connection that is up.
+    pub fn of(stream: TcpStream) -> Line {
+        stream.set_read_timeout(Some(NEVER)).expect("a time limit");
+        Line::Tcp(stream, Framer::default())
+    }
+
     fn local(&self) -> SocketAddr {
         match self {
             Line::Udp(socket, _) => socket.local_addr(),
@@ -96,14 +98,14 @@
         .expect("a local address")
     }
 
-    fn send(&mut self, bytes: &[u8]) -> bool {
+    pub fn send(&mut self, bytes: &[u8]) -> bool {
         match self {
             Line::Udp(socket, to) => socket.send_to(bytes, *to).is_ok(),
             Line::Tcp(stream, _) => stream.write_all(bytes).is_ok(),
         }
     }
 
-    fn receive(&mut self) -> Option<Message> {
+    pub fn receive(&mut self) -> Option<Message> {
         let mut bytes = vec![0; MOST];
         match self {
             Line::Udp(socket, _) => {
