Reconnect where the list tells of a restart, and hold nothing for a draining exchange

Checked by a_restart_that_only_the_list_tells_cuts_what_stood_before, and sigterm_ends_the_program_well on the program itself. Ruled out: dropping a healthy connection; one that came up after the start told is kept.

--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -160,6 +160,9 @@
                         peer::start(&self.tasks, id, *addr, &self.name, self.connect_timeout, clock, engine)
                     });
                     let _ = peer.try_send(PeerMail::Condition(condition));
+                    if let Some(at) = office.ready_at {
+                        let _ = peer.try_send(PeerMail::Started(at));
+                    }
                 }
                 _ => {}
             }
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -32,6 +32,8 @@
     Command(CallId, Far),
     /// The list says so.
     Condition(Condition),
+    /// The list says that its process started then.
+    Started(Time),
     /// A connection has come up, or has not.
     Connected(std::io::Result<TcpStream>),
     /// A connection, by its number, brings something.
@@ -53,6 +55,8 @@
     conn: Option<Conn>,
     /// The number of the present connection; what an older one still brings is ignored.
     conn_no: u64,
+    /// When it came up.
+    conn_at: Time,
     connecting: bool,
     /// A connection was lost and no new one has come up since.
     suspect: bool,
@@ -84,6 +88,7 @@
         condition: Condition::On,
         conn: None,
         conn_no: 0,
+        conn_at: clock.now(),
         connecting: false,
         suspect: false,
         waiting: VecDeque::new(),
@@ -108,7 +113,22 @@
                     self.end_open().await;
                     return;
                 }
-                PeerMail::Condition(condition) => self.condition = condition,
+                PeerMail::Condition(condition) => {
+                    self.condition = condition;
+                    if condition == Condition::Draining {
+                        // Nothing that waited for a connection may leave once it drains.
+                        self.fail_waiting().await;
+                    }
+                }
+                PeerMail::Started(at) => {
+                    // A machine that vanished left its connection open and silent.
+                    if self.conn.is_some() && self.conn_at < at {
+                        tracing::info!(office = self.office.0, "exchange restarted: connecting again");
+                        self.conn = None;
+                        self.end_open().await;
+                        self.connect();
+                    }
+                }
                 PeerMail::Connected(Ok(stream)) => self.connected(stream),
                 PeerMail::Connected(Err(error)) => self.refused(error).await,
                 PeerMail::Heard(no, heard) if no == self.conn_no && self.conn.is_some() => match heard {
@@ -142,6 +162,7 @@
         self.connecting = false;
         self.suspect = false;
         self.conn_no += 1;
+        self.conn_at = self.clock.now();
         let no = self.conn_no;
         let wrap = move |heard| PeerMail::Heard(no, heard);
         self.conn = Some(Conn::open(&self.tasks, stream, self.own_mailbox.clone(), wrap));
--- a/tests/platform_loopback.rs
+++ b/tests/platform_loopback.rs
@@ -6,6 +6,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread::{self, JoinHandle};
+use std::time::{SystemTime, UNIX_EPOCH};
 
 use mallowring::config::Config;
 use mallowring::net::Node;
@@ -256,6 +257,30 @@
     drop(bulletin);
 }
 
+/// Guards against a machine that vanishes: it leaves its connection open and silent, and only the list tells that
+/// its process started anew. What stood before is cut, and a new connection is made.
+#[test]
+fn a_restart_that_only_the_list_tells_cuts_what_stood_before() {
+    let bench = Bench::start();
+    let mut silent = bench.peer();
+    let mut caller = bench.caller();
+    caller.stand(&mut silent, "old");
+    let mut started = event(4, false, "ready", addr_of(&bench.exchange));
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock").as_millis();
+    // The list counts whole milliseconds: the next one is surely behind the set-up.
+    started["roster"]["instances"][0]["startedAtMs"] = json!(now as u64 + 1);
+    let mut stream = bench.bulletin.accept().expect("the proxy connects").0;
+    writeln!(stream, "{started}").expect("it is sent");
+    let release = caller.hear("BYE");
+    assert_eq!((release.get("Call-ID"), release.get("Reason")), (Some("old"), Some("Q.850;cause=41")));
+    let mut fresh = taken(&bench.exchange);
+    fresh.say(&notify());
+    fresh.say(&bye("old", 41));
+    fresh.hear("200");
+    assert!(silent.receive().is_none(), "the old connection is closed");
+    bench.end();
+}
+
 /// Guards rule one at the other end: what a caller no longer wants is called off, and an answer that crosses is
 /// released, not left standing.
 #[test]
@@ -365,3 +390,28 @@
     assert_eq!(late.hear("BYE").get("Call-ID"), Some("b"));
     bench.thread.join().expect("no panic").expect("it drained");
 }
+
+/// The program itself: SIGTERM ends it well once nothing is left.
+#[test]
+fn sigterm_ends_the_program_well() {
+    let service = service_on_free_ports();
+    let mut child = std::process::Command::new(env!("CARGO_BIN_EXE_mallowring"))
+        .env("MALLOWRING_SERVICE", &service)
+        .stderr(std::process::Stdio::piped())
+        .spawn()
+        .expect("it starts");
+    let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines();
+    assert!(lines.any(|line| line.expect("a line").contains("SIP over UDP and TCP started")));
+    let id = child.id().to_string();
+    assert!(std::process::Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+    assert!(child.wait().expect("it ends").success());
+    assert!(lines.any(|line| line.expect("a line").contains("drained")));
+    std::fs::remove_file(service).expect("the file is there");
+}
+
+fn service_on_free_ports() -> std::path::PathBuf {
+    let text = std::fs::read_to_string("deploy/service.toml").expect("the service file");
+    let path = std::env::temp_dir().join(format!("mallowring-sigterm-{}.toml", std::process::id()));
+    std::fs::write(&path, text.replace("127.0.0.1:5060", "127.0.0.1:0")).expect("a file");
+    path
+}
