--- a/src/calls/table.rs
+++ b/src/calls/table.rs
@@ -342,7 +342,8 @@
                         out.push(Command::Far(office, id.clone(), Far::GiveUp { leg }));
                     }
                     self.calls.remove(&id);
-                    out.push(Command::Near(front, id.clone(), Near::Refuse(None)));
+                    let wait = self.settings.cool_down.then_some(self.settings.max_cool_down);
+                    out.push(Command::Near(front, id.clone(), Near::Refuse(wait)));
                     self.decide(now, Event::Withdrawn(id), out);
                 }
             },
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -37,6 +37,9 @@
 const TTL_SLOT: Secs = 0.05;
 /// A number whose lines stay busy is gapped for this many aims at most.
 const GAP_AIMS: f64 = 16.0;
+/// A refused caller is asked to stay away for this many aims: long enough for a level to drop, and a first
+/// redial is still in time.
+const COOL_DOWN_AIMS: f64 = 0.3;
 /// After a full processor sends to it pause this long; the answer is older than its relief.
 const FULL_PAUSE: Secs = 0.2;
 /// Tandem weights: floor, share of the gap to 1 won on success, factor on turn-back, of the advised, for each
@@ -900,10 +903,11 @@
         let refusable = call.may_have_run.is_none()
             || class.is_none_or(|c| matches!(c.effect, Effect::Free | Effect::Guarded(Scope::All)));
         out.push(if refusable {
-            // A call refused early may yet stand in its aim if the caller is back soon; only a number whose
-            // lines are all busy is better left alone.
-            let heeds = self.settings.cool_down && self.gapped(&call.arrival, call.arrived);
-            let cool_down = heeds.then_some(self.settings.max_cool_down);
+            // A call refused early may yet stand in its aim if the caller is back soon; a number whose lines
+            // are all busy is better left alone.
+            let gapped = self.gapped(&call.arrival, call.arrived);
+            let wait = if gapped { f64::INFINITY } else { COOL_DOWN_AIMS * self.aim };
+            let cool_down = self.settings.cool_down.then_some(wait.min(self.settings.max_cool_down));
             Action::Refuse { id: id.clone(), cool_down }
         } else {
             Action::Fail(id.clone())
--- /dev/null
+++ b/tests/calls.rs
@@ -0,0 +1,231 @@
+//! The core by itself: a scripted call from request to release, and the guards of the rules.
+
+mod common;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use common::{office, settings};
+use mallowring::calls::{Command, Far, Front, Input, Near, Reject, Request, Table, Wake};
+use mallowring::interface::*;
+
+struct Core {
+    table: Table,
+    now: f64,
+}
+
+impl Core {
+    /// A table that has heard of exchanges 0 (its own) to 4, with 30 free circuits to each.
+    fn new() -> Core {
+        let tenants = BTreeSet::from(["acme".to_owned()]);
+        let mut core = Core {
+            table: Table::new(Settings { max_attempts: 4, ..settings() }, tenants, 7, Time(1000.0)),
+            now: 1000.0,
+        };
+        core.put(Input::List { whole: true, offices: (0..5).map(office).collect() });
+        assert!(!core.table.informed(), "no state is in");
+        let report = Report { free: Some(30.0), size: Some(30.0), ..Report::default() };
+        for number in 1..5 {
+            core.put(Input::Status { office: office(number).id, report });
+        }
+        assert!(core.table.informed());
+        core
+    }
+
+    fn put(&mut self, input: Input) -> Vec<Command> {
+        let mut out = Vec::new();
+        self.table.handle(Time(self.now), input, &mut out);
+        out
+    }
+
+    fn request(&self, id: &str) -> Request {
+        Request {
+            id: CallId(id.into()),
+            front: Front::Platform,
+            class: settings().classes[0].name.clone(),
+            tenant: Some("acme".into()),
+            ttl: 3.0,
+            transit: false,
+            hop: None,
+            came_back: false,
+            resent: false,
+            width: 1,
+            dest: ExchangeNo(3),
+            number: "n-1".into(),
+            description: Arc::from(&b"offer"[..]),
+        }
+    }
+
+    /// A call that is out to exchange 3.
+    fn call(&mut self, id: &str) -> CallId {
+        let out = self.put(Input::Request(self.request(id)));
+        assert_eq!(set_ups(&out), 1, "{out:?}");
+        CallId(id.into())
+    }
+
+    fn standing(&mut self, id: &str) -> CallId {
+        let id = self.call(id);
+        let answer = Arc::from(&b"answer\0\xff"[..]);
+        let input =
+            Input::Answered { id: id.clone(), office: OfficeId(103), leg: Some(0), description: answer };
+        let out = self.put(input);
+        assert!(matches!(&nears(&out)[..], [Near::Answer(d)] if d[..] == b"answer\0\xff"[..]), "{out:?}");
+        id
+    }
+
+    fn ended(&mut self, id: &CallId, leg: u32, outcome: Outcome) -> Vec<Command> {
+        let (office, why, report) = (OfficeId(103), Why::Unsaid, Report::default());
+        self.put(Input::Ended { id: id.clone(), office, leg: Some(leg), outcome, why, report })
+    }
+}
+
+fn nears(out: &[Command]) -> Vec<Near> {
+    let near = |c: &Command| match c {
+        Command::Near(_, _, near) => Some(near.clone()),
+        _ => None,
+    };
+    out.iter().filter_map(near).collect()
+}
+
+fn fars(out: &[Command]) -> Vec<Far> {
+    let far = |c: &Command| match c {
+        Command::Far(_, _, far) => Some(far.clone()),
+        _ => None,
+    };
+    out.iter().filter_map(far).collect()
+}
+
+fn set_ups(out: &[Command]) -> usize {
+    fars(out).iter().filter(|f| matches!(f, Far::SetUp(_))).count()
+}
+
+/// The latest thing that a command asks to be woken for.
+fn wakes(out: &[Command]) -> Vec<(f64, Wake)> {
+    let wake = |c: &Command| match c {
+        Command::Wake(at, wake) => Some((at.0, wake.clone())),
+        _ => None,
+    };
+    out.iter().filter_map(wake).collect()
+}
+
+#[test]
+fn a_call_stands_and_is_released_once_though_its_exchange_says_so_twice() {
+    let mut core = Core::new();
+    let id = core.standing("a");
+    assert_eq!((core.table.open(), core.table.standing()), (0, 1));
+    let release = Input::Released { id, office: OfficeId(103), whole: true, report: Report::default() };
+    assert_eq!(nears(&core.put(release.clone())), [Near::Release { whole: true }]);
+    // An exchange sends its release on the next connection as well: the caller must not get a second one.
+    assert!(core.put(release).is_empty());
+    assert_eq!(core.table.standing(), 0);
+}
+
+#[test]
+fn what_makes_no_sense_is_turned_down_for_good() {
+    let mut core = Core::new();
+    let fine = core.request("x");
+    let cases = [
+        (Request { class: "none".into(), ..fine.clone() }, Reject::Class),
+        (Request { tenant: Some("stranger".into()), ..fine.clone() }, Reject::Tenant),
+        (Request { dest: ExchangeNo(77), ..fine }, Reject::Destination),
+    ];
+    for (request, reject) in cases {
+        assert_eq!(nears(&core.put(Input::Request(request))), [Near::Reject(reject)]);
+    }
+    assert_eq!(core.table.open(), 0);
+}
+
+/// Guards rule five: after each of these ends 300 ms pass before the next send, whatever the module asks for.
+#[test]
+fn a_reset_attempt_is_followed_by_none_until_the_release_is_over() {
+    for outcome in [Outcome::Reset, Outcome::TimedOut, Outcome::Cancelled] {
+        let mut core = Core::new();
+        let id = core.call("a");
+        core.now += 0.1;
+        let out = core.ended(&id, 0, outcome);
+        assert_eq!((set_ups(&out), nears(&out).len()), (0, 0), "{outcome:?}");
+        let (at, wake) = wakes(&out).pop().expect("the module asks to be woken");
+        assert!(at >= core.now + 0.3, "{outcome:?}");
+        core.now = at;
+        let out = core.put(Input::Woken(wake));
+        assert_eq!(set_ups(&out) + nears(&out).len(), 1, "{outcome:?}: {out:?}");
+    }
+}
+
+/// Guards rule one: an answer that crossed our giving up must not reach the caller, and its call must not be
+/// left standing at the exchange.
+#[test]
+fn an_answer_that_crosses_a_cancel_is_released_at_the_exchange() {
+    let mut core = Core::new();
+    let id = core.call("a");
+    assert_eq!(fars(&core.put(Input::GaveUp(id.clone()))), [Far::GiveUp { leg: 0 }]);
+    let (office, description) = (OfficeId(103), Arc::from(&b""[..]));
+    let out = core.put(Input::Answered { id, office, leg: Some(0), description });
+    assert_eq!((fars(&out), nears(&out)), (vec![Far::Release { leg: Some(0) }], vec![]));
+    // The other way round: the caller's giving up crosses the answer that it already got.
+    let id = core.standing("b");
+    let out = core.put(Input::GaveUp(id));
+    assert_eq!(fars(&out), [Far::Release { leg: Some(0) }]);
+    assert_eq!(nears(&out), [Near::Release { whole: false }]);
+}
+
+/// Guards rule one: whatever the module does, a caller has its final answer before it stops waiting.
+#[test]
+fn the_deadline_brings_a_final_answer_and_calls_the_attempt_off() {
+    let mut core = Core::new();
+    let mut request = core.request("a");
+    request.ttl = 0.5;
+    let out = core.put(Input::Request(request));
+    let (at, wake) =
+        wakes(&out).into_iter().find(|(_, w)| matches!(w, Wake::Deadline(_))).expect("a deadline");
+    assert!(at < core.now + 0.5);
+    core.now = at;
+    let out = core.put(Input::Woken(wake));
+    assert_eq!(fars(&out), [Far::GiveUp { leg: 0 }]);
+    assert!(matches!(nears(&out)[..], [Near::Refuse(Some(_))]), "{out:?}");
+    assert_eq!(core.table.open(), 0);
+}
+
+/// Guards rule one on the death of an exchange: its standing calls are released, its attempts end as reset.
+#[test]
+fn a_dead_exchange_loses_its_calls_and_only_those() {
+    let mut core = Core::new();
+    core.standing("stands");
+    let out = core.call("out");
+    let cut = core.put(Input::Died(OfficeId(103)));
+    assert_eq!(nears(&cut), [Near::Release { whole: false }]);
+    assert_eq!((core.table.open(), core.table.standing()), (1, 0));
+    assert!(core.ended(&out, 0, Outcome::Full).is_empty(), "that attempt is over");
+    // A restart told late must not cut what was set up since.
+    let mut core = Core::new();
+    core.standing("old");
+    let started = Time(core.now + 1.0);
+    core.now += 2.0;
+    core.standing("new");
+    let line = Office { ready_at: Some(started), ..office(3) };
+    let out = core.put(Input::List { whole: false, offices: vec![line] });
+    assert_eq!(nears(&out), [Near::Release { whole: false }]);
+    assert_eq!(core.table.standing(), 1);
+}
+
+/// Guards rule two: one attempt out at a time and four at most, whatever ends them.
+#[test]
+fn attempts_are_never_two_at_once_and_four_at_most() {
+    let mut core = Core::new();
+    let mut pending = core.put(Input::Request(core.request("a")));
+    let (mut sent, mut finals) = (0, 0);
+    for _ in 0..20 {
+        assert!(set_ups(&pending) <= 1);
+        sent += set_ups(&pending);
+        finals += nears(&pending).len();
+        let to = pending.iter().find_map(|c| match c {
+            Command::Far(office, id, Far::SetUp(s)) => Some((*office, id.clone(), s.leg)),
+            _ => None,
+        });
+        let Some((office, id, leg)) = to else { break };
+        core.now += 0.01;
+        let (outcome, why, report) = (Outcome::Full, Why::NoCircuit, Report::default());
+        pending = core.put(Input::Ended { id, office, leg: Some(leg), outcome, why, report });
+    }
+    assert!((1..=4).contains(&sent), "{sent}");
+    assert_eq!(finals, 1);
+}
