SIGHUP reads the configuration again; what the bulletin lost is asked for

At fault: net/mod.rs subscribed to SIGTERM and SIGINT alone; net/bulletin.rs took its address once. Beside it in bulletin.rs: a line that could not be read was dropped and its event lost for good, a gap in the numbers or a heartbeat ahead of the last event passed unnoticed, and bytes that end no line kept a dead connection alive.

Now SIGHUP reads and checks the file again. A bad one is logged with its key and changes nothing. A good one moves the list's actor to the new bulletin with `after N`; connections and calls go on. A gap, a heartbeat ahead, an unreadable line or 1.8 s without a whole line end the connection, and the next one asks again, once a number. Ids of exchanges that are gone are forgotten.

Tests: a_configuration_read_again_moves_the_bulletin_and_keeps_the_calls, sigterm_ends_the_program_well, a_gap_in_the_bulletin_is_asked_for_again.

--- a/src/config.rs
+++ b/src/config.rs
@@ -17,6 +17,7 @@
 use crate::admin::netconf::Client;
 use crate::calls::tenants::Tenant;
 use crate::interface::{ExchangeNo, OfficeId, Secs, Settings};
+use crate::net::bulletin::Source;
 use crate::sip::agent::Exchange;
 use crate::sip::header::{Hop, Transport};
 use crate::wire;
@@ -75,6 +76,8 @@
     pub connect_timeout: Secs,
     /// The least severe log lines to write.
     pub log: tracing::Level,
+    /// Where all of this comes from.
+    pub origin: Origin,
 }
 
 /// The platform's front, its exchanges and its list.
@@ -82,12 +85,41 @@
 pub struct Platform {
     /// Where callers connect.
     pub listen: SocketAddr,
-    /// The address of the bulletin.
-    pub bulletin: SocketAddr,
-    /// The number of the last event known at the start.
-    pub known_no: u64,
-    /// The events known at the start, each as the bulletin would put it.
-    pub known: Vec<Value>,
+    /// The bulletin, and what it has told so far.
+    pub source: Source,
+}
+
+/// Where the configuration was read, to read it again.
+#[derive(Clone, Debug)]
+pub struct Origin {
+    env: BTreeMap<String, String>,
+    /// The platform's file as it stood.
+    file: Value,
+}
+
+impl Origin {
+    /// Reads the configuration again. A bad one is logged with its key and changes nothing; of a good one the
+    /// bulletin counts at once, and what does not is logged.
+    pub fn again(&mut self) -> Option<Source> {
+        let config = match Config::read(&self.env) {
+            Ok(config) => config,
+            Err(error) => {
+                tracing::error!(%error, "the configuration read again is bad: the old one stays in force");
+                return None;
+            }
+        };
+        let new = config.origin.file;
+        let waits: Vec<_> = ["name", "listen", "limits", "settings"]
+            .into_iter()
+            .filter(|key| new.get(key) != self.file.get(key))
+            .collect();
+        tracing::info!("configuration read again");
+        if !waits.is_empty() {
+            tracing::warn!(keys = ?waits, "changed keys that count from the next start only");
+        }
+        self.file = new;
+        config.platform.map(|platform| platform.source)
+    }
 }
 
 /// The SIP front and the exchanges that speak SIP.
@@ -214,9 +246,9 @@
 const SIP_OFFICES: u64 = 1 << 32;
 
 /// A file, to name in what is wrong with it.
-struct Source<'a>(&'a Path);
+struct File<'a>(&'a Path);
 
-impl Source<'_> {
+impl File<'_> {
     fn text(&self) -> Result<String, ConfigError> {
         std::fs::read_to_string(self.0)
             .map_err(|source| ConfigError::File { path: self.0.to_owned(), source })
@@ -241,10 +273,14 @@
     /// platform's, `MALLOWRING_SERVICE` the operators' own, for all that is off on the platform.
     pub fn read(env: &BTreeMap<String, String>) -> Result<Config, ConfigError> {
         let (node_path, service_path) = (env.get("NODE_CONFIG"), env.get("MALLOWRING_SERVICE"));
-        let service_source = service_path.map(|path| Source(Path::new(path)));
+        let service_source = service_path.map(|path| File(Path::new(path)));
         let service = service_source.as_ref().map(read_service).transpose()?.unwrap_or_default();
-        let node_source = node_path.map(|path| Source(Path::new(path)));
-        let node = node_source.as_ref().map(read_node).transpose()?;
+        let node_source = node_path.map(|path| File(Path::new(path)));
+        let file = node_source.as_ref().map(read_node).transpose()?;
+        let node: Option<NodeW> = match (&file, &node_source) {
+            (Some(file), Some(source)) => Some(source.read("", file)?),
+            _ => None,
+        };
         // The settings are the platform's where there is one, else the service file's.
         let (source, under, settings) = match (&node, &node_source, &service.settings, &service_source) {
             (Some(node), Some(source), ..) => (source, "settings.", &node.settings),
@@ -285,7 +321,7 @@
         };
         let kept = admin.as_ref().and_then(|admin| admin.store.as_ref()).filter(|path| path.exists());
         if let Some(path) = kept {
-            let source = Source(path);
+            let source = File(path);
             let value: Value = serde_json::from_str(&source.text()?)
                 .map_err(|e| source.fault(format!("line {}", e.line()), e.to_string()))?;
             tenants = source.read("", &value)?;
@@ -321,25 +357,37 @@
                     .listen
                     .ok_or_else(|| source.fault("listen", "missing, and NODE_LISTEN is not set"))?,
             };
-            let (known_no, known) = (node.known.no, node.known.items);
-            platform = Some(Platform { listen, bulletin: node.bulletin, known_no, known });
+            let source = Source { addr: node.bulletin, known: node.known.items, known_no: node.known.no };
+            platform = Some(Platform { listen, source });
         }
-        Ok(Config { name, seed, sockets, platform, sip, admin, settings, tenants, connect_timeout, log })
+        let origin = Origin { env: env.clone(), file: file.unwrap_or_default() };
+        Ok(Config {
+            name,
+            seed,
+            sockets,
+            platform,
+            sip,
+            admin,
+            settings,
+            tenants,
+            connect_timeout,
+            log,
+            origin,
+        })
     }
 }
 
-fn read_node(source: &Source) -> Result<NodeW, ConfigError> {
-    let value: Value = serde_json::from_str(&source.text()?)
-        .map_err(|e| source.fault(format!("line {}", e.line()), e.to_string()))?;
-    source.read("", &value)
+fn read_node(source: &File) -> Result<Value, ConfigError> {
+    serde_json::from_str(&source.text()?)
+        .map_err(|e| source.fault(format!("line {}", e.line()), e.to_string()))
 }
 
-fn read_service(source: &Source) -> Result<ServiceW, ConfigError> {
+fn read_service(source: &File) -> Result<ServiceW, ConfigError> {
     let value: Value = toml::from_str(&source.text()?).map_err(|e| source.fault("TOML", e.to_string()))?;
     source.read("", &value)
 }
 
-fn read_admin(source: &Source, admin: AdminW) -> Result<Admin, ConfigError> {
+fn read_admin(source: &File, admin: AdminW) -> Result<Admin, ConfigError> {
     let http = match admin.http {
         None => None,
         Some(http) if !http.listen.ip().is_loopback() => {
@@ -366,7 +414,7 @@
 }
 
 fn read_netconf(
-    source: &Source,
+    source: &File,
     netconf: NetconfW,
 ) -> Result<(SocketAddr, Arc<ServerConfig>, Vec<Client>), ConfigError> {
     let bad = |key: String, path: &Path, what: &dyn std::fmt::Display| {
@@ -405,7 +453,7 @@
     Ok((netconf.listen, Arc::new(tls), clients))
 }
 
-fn read_sip(source: &Source, sip: SipW, settings: &Settings) -> Result<Sip, ConfigError> {
+fn read_sip(source: &File, sip: SipW, settings: &Settings) -> Result<Sip, ConfigError> {
     if !settings.classes.iter().any(|c| c.name == sip.urgent_class) {
         let what = format!("'{}' is no class of the settings", sip.urgent_class);
         return Err(source.fault("sip.urgent_class", what));
--- a/src/net/bulletin.rs
+++ b/src/net/bulletin.rs
@@ -1,25 +1,57 @@
 //! The actor of the list: holds a connection to the bulletin and passes its events on in order.
 
 use std::collections::BTreeMap;
+use std::future::Future;
+use std::io;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::Deserialize;
 use serde_json::Value;
-use smol::channel::Sender;
+use smol::channel::{Receiver, Sender};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
-use smol::Timer;
+use smol::{future, Timer};
+use thiserror::Error;
 
 use super::engine::EngineMail;
 use super::{or_late, post};
 use crate::interface::*;
 
-/// A line comes every second; without one for this long the connection is of no use.
-const SILENCE: Duration = Duration::from_millis(2500);
-const PAUSE: Duration = Duration::from_millis(200);
+/// A line comes every second; without a whole one for this long the connection is of no use.
+const SILENCE: Duration = Duration::from_millis(1800);
+const PAUSE: Duration = Duration::from_millis(100);
 /// The most bytes of one line.
 const MOST: usize = 1 << 20;
+/// How often one line that can't be read is asked for again before it is passed over.
+const PATIENCE: u32 = 5;
+
+/// Where the list is told, and what of it is known without asking.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Source {
+    /// The bulletin's address.
+    pub addr: SocketAddr,
+    /// The events known.
+    pub known: Vec<Value>,
+    /// The number of the last of them.
+    pub known_no: u64,
+}
+
+/// Why what was heard is no good: it has to be asked for again.
+#[derive(Debug, Error)]
+pub enum Fault {
+    /// The line is no JSON of the form wanted.
+    #[error("a line can't be read: {0}")]
+    Unreadable(#[from] serde_json::Error),
+    /// Events are missing.
+    #[error("it is at {said}, and {last} is the last event here")]
+    Gap {
+        /// The last number known.
+        last: u64,
+        /// The number said.
+        said: u64,
+    },
+}
 
 /// One exchange of the list.
 #[derive(Clone, Debug, PartialEq)]
@@ -59,92 +91,183 @@
     started_at_ms: f64,
 }
 
-/// The list as told so far: its last event, and the numbers given to the ids of exchanges.
+/// The list as told so far: its last event, and the numbers given to the ids of exchanges that are not gone.
 #[derive(Debug, Default)]
 pub struct List {
     last: u64,
     ids: BTreeMap<String, OfficeId>,
+    given: u64,
+    /// Events up to here were asked for again: what is still missing then was never written.
+    asked: u64,
 }
 
 impl List {
     /// Reads one line. What is new comes with whether it is the whole list.
-    pub fn line(&mut self, line: &str) -> Result<Option<(bool, Vec<Listed>)>, serde_json::Error> {
+    pub fn line(&mut self, line: &str) -> Result<Option<(bool, Vec<Listed>)>, Fault> {
         let value: Value = serde_json::from_str(line)?;
-        if value.is_number() {
-            return Ok(None);
+        match value.as_u64() {
+            Some(said) => self.reaches(said).map(|()| None),
+            None => self.event(value),
         }
-        self.event(value)
+    }
+
+    /// Checks that nothing up to a number is missing; the same number is complained of once.
+    fn reaches(&mut self, said: u64) -> Result<(), Fault> {
+        if said <= self.last.max(self.asked) {
+            return Ok(());
+        }
+        self.asked = said;
+        Err(Fault::Gap { last: self.last, said })
+    }
+
+    /// Takes events that need no asking, and passes on those that are new.
+    async fn known(&mut self, events: Vec<Value>, last: u64, engine: &Sender<EngineMail>) {
+        self.asked = u64::MAX;
+        for value in events {
+            // The first event ever is the whole list.
+            let first = self.last == 0;
+            match self.event(value) {
+                Ok(Some((whole, listed))) => {
+                    post(engine, EngineMail::List { whole: whole || first, listed }).await;
+                }
+                Ok(None) => {}
+                Err(error) => tracing::error!(%error, "a known event can't be read"),
+            }
+        }
+        (self.last, self.asked) = (self.last.max(last), 0);
     }
 
     /// Reads one event.
-    pub fn event(&mut self, value: Value) -> Result<Option<(bool, Vec<Listed>)>, serde_json::Error> {
+    pub fn event(&mut self, value: Value) -> Result<Option<(bool, Vec<Listed>)>, Fault> {
         let event = EventW::deserialize(value)?;
         if event.no <= self.last {
             return Ok(None);
         }
+        if !event.roster.as_ref().is_some_and(|roster| roster.reset) {
+            self.reaches(event.no - 1)?;
+        }
         self.last = event.no;
         let Some(roster) = event.roster else { return Ok(None) };
         let mut listed = Vec::new();
+        let mut gone = Vec::new();
         for line in roster.instances {
-            let next = OfficeId(self.ids.len() as u64 + 1);
-            let id = *self.ids.entry(line.instance_id).or_insert(next);
             let condition = match line.lifecycle.as_str() {
                 "ready" => Condition::On,
                 "draining" => Condition::Draining,
                 _ => Condition::Off,
             };
+            if condition == Condition::Off {
+                gone.push(line.instance_id.clone());
+            }
+            let id = *self.ids.entry(line.instance_id).or_insert_with(|| {
+                self.given += 1;
+                OfficeId(self.given)
+            });
             let ready_at = (line.started_at_ms > 0.0).then_some(Time(line.started_at_ms / 1000.0));
             let (zone, number, weight) = (line.zone, ExchangeNo(line.cell), line.weight);
             let office = Office { id, zone, number, condition, weight, ready_at };
             listed.push(Listed { office, addr: line.host_port });
         }
+        if roster.reset {
+            self.ids.retain(|_, id| listed.iter().any(|l| l.office.id == *id));
+        }
+        self.ids.retain(|id, _| !gone.contains(id));
         Ok(Some((roster.reset, listed)))
     }
 }
 
-/// Passes the known events on, then follows the bulletin for ever.
-pub async fn run(addr: SocketAddr, known: Vec<Value>, known_no: u64, engine: Sender<EngineMail>) {
-    let mut list = List::default();
-    for (ix, value) in known.into_iter().enumerate() {
-        match list.event(value) {
-            Ok(Some((whole, listed))) => {
-                post(&engine, EngineMail::List { whole: whole || ix == 0, listed }).await;
-            }
-            Ok(None) => {}
-            Err(error) => tracing::error!(%error, "a known event can't be read"),
+/// Why a connection is followed no longer.
+enum End {
+    Lost(io::Error),
+    Moved(Source),
+}
+
+/// Does something unless another source is named first. Nothing that is half handed on is ever cut short by that.
+async fn or_moved<T>(
+    sources: &Receiver<Source>,
+    work: impl Future<Output = io::Result<T>>,
+) -> Result<T, End> {
+    let moved = async {
+        match sources.recv().await {
+            Ok(source) => Err(End::Moved(source)),
+            Err(_) => future::pending().await,
         }
-    }
-    list.last = list.last.max(known_no);
+    };
+    future::or(moved, async { work.await.map_err(End::Lost) }).await
+}
+
+/// Passes the known events on, then follows the bulletin for ever, wherever the latest source says it is.
+pub async fn run(mut source: Source, sources: Receiver<Source>, engine: Sender<EngineMail>) {
+    let mut list = List::default();
+    // How often the line behind the last event could not be read.
+    let mut spoilt = (0, 0);
     loop {
-        if let Err(error) = follow(addr, &mut list, &engine).await {
-            tracing::warn!(%error, last = list.last, "bulletin lost: connecting again");
+        list.known(std::mem::take(&mut source.known), source.known_no, &engine).await;
+        let moved = match follow(source.addr, &mut list, &sources, &engine, spoilt.1 >= PATIENCE).await {
+            End::Moved(to) => Some(to),
+            End::Lost(error) => {
+                tracing::warn!(%error, last = list.last, "bulletin lost: connecting again");
+                let again = error.kind() == io::ErrorKind::InvalidData && list.last == spoilt.0;
+                spoilt = (list.last, if again { spoilt.1 + 1 } else { 0 });
+                let pause = async {
+                    Timer::after(PAUSE).await;
+                    Ok(())
+                };
+                match or_moved(&sources, pause).await {
+                    Err(End::Moved(to)) => Some(to),
+                    _ => None,
+                }
+            }
+        };
+        if let Some(to) = moved {
+            tracing::info!(bulletin = %to.addr, last = list.last, "following another bulletin");
+            source = to;
         }
-        Timer::after(PAUSE).await;
     }
 }
 
-async fn follow(addr: SocketAddr, list: &mut List, engine: &Sender<EngineMail>) -> std::io::Result<()> {
-    let mut stream = or_late(SILENCE, TcpStream::connect(addr)).await?;
-    or_late(SILENCE, stream.write_all(format!("after {}\n", list.last).as_bytes())).await?;
+async fn follow(
+    addr: SocketAddr,
+    list: &mut List,
+    sources: &Receiver<Source>,
+    engine: &Sender<EngineMail>,
+    pass_over: bool,
+) -> End {
+    let asked = async {
+        let mut stream = or_late(SILENCE, TcpStream::connect(addr)).await?;
+        or_late(SILENCE, stream.write_all(format!("after {}\n", list.last).as_bytes())).await?;
+        Ok(stream)
+    };
+    let mut stream = match or_moved(sources, asked).await {
+        Ok(stream) => stream,
+        Err(end) => return end,
+    };
     let mut held = Vec::new();
     let mut bytes = vec![0; 8192];
+    // Bytes that end no line are as good as silence.
+    let mut heard = Instant::now();
     loop {
-        let n = or_late(SILENCE, stream.read(&mut bytes)).await?;
-        if n == 0 {
-            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        let left = SILENCE.saturating_sub(heard.elapsed());
+        match or_moved(sources, or_late(left, stream.read(&mut bytes))).await {
+            Ok(0) => return End::Lost(io::ErrorKind::UnexpectedEof.into()),
+            Ok(n) => held.extend_from_slice(&bytes[..n]),
+            Err(end) => return end,
         }
-        held.extend_from_slice(&bytes[..n]);
         while let Some(end) = held.iter().position(|b| *b == b'\n') {
             let line: Vec<u8> = held.drain(..=end).collect();
             let line = String::from_utf8_lossy(&line);
+            heard = Instant::now();
             match list.line(line.trim()) {
                 Ok(Some((whole, listed))) => post(engine, EngineMail::List { whole, listed }).await,
                 Ok(None) => {}
-                Err(error) => tracing::warn!(%error, "a line of the bulletin can't be read"),
+                Err(fault @ Fault::Unreadable(_)) if pass_over => {
+                    tracing::error!(%fault, "a line of the bulletin is passed over");
+                }
+                Err(fault) => return End::Lost(io::Error::new(io::ErrorKind::InvalidData, fault)),
             }
         }
         if held.len() > MOST {
-            return Err(std::io::ErrorKind::InvalidData.into());
+            return End::Lost(io::ErrorKind::InvalidData.into());
         }
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -55,6 +55,7 @@
     http: Option<TcpListener>,
     netconf: Option<TcpListener>,
     stop: (Sender<()>, Receiver<()>),
+    reload: (Sender<()>, Receiver<()>),
 }
 
 impl Node {
@@ -67,7 +68,7 @@
         let http = http.map(|(addr, _)| listen(*addr)).transpose()?;
         let netconf = config.admin.as_ref().and_then(|a| a.netconf.as_ref());
         let netconf = netconf.map(|(addr, ..)| listen(*addr)).transpose()?;
-        Ok(Node { config, platform, sip, http, netconf, stop: bounded(1) })
+        Ok(Node { config, platform, sip, http, netconf, stop: bounded(1), reload: bounded(1) })
     }
 
     /// Where the SIP front listens.
@@ -95,6 +96,11 @@
         self.stop.0.clone()
     }
 
+    /// Something to be sent to tell the program to read its configuration again, as SIGHUP does.
+    pub fn reloader(&self) -> Sender<()> {
+        self.reload.0.clone()
+    }
+
     /// Runs until it is told to end and has drained.
     pub fn run(self) -> io::Result<()> {
         let tasks: Tasks = Rc::new(LocalExecutor::new());
@@ -103,15 +109,19 @@
     }
 
     async fn serve(self, tasks: Tasks) -> io::Result<()> {
-        let Node { config, platform, sip, http, netconf, stop } = self;
+        let Node { config, platform, sip, http, netconf, stop, reload } = self;
         let clock = clock::Clock::system();
-        let mut signals = Signals::new([Signal::Term, Signal::Int])?;
+        let mut signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup])?;
+        let origin = config.origin.clone();
+        let mut sources = None;
         let (engine, engine_mail) = bounded(MAILBOX);
         let (alarms, alarm_mail) = bounded(MAILBOX);
         let mut front = None;
         if let (Some(listener), Some(at)) = (platform, config.platform) {
             let (mailbox, mail) = bounded(MAILBOX);
-            tasks.spawn(bulletin::run(at.bulletin, at.known, at.known_no, engine.clone())).detach();
+            let (follow, followed) = bounded(1);
+            sources = Some(follow);
+            tasks.spawn(bulletin::run(at.source, followed, engine.clone())).detach();
             let platform = platform::Platform {
                 tasks: tasks.clone(),
                 engine: engine.clone(),
@@ -165,13 +175,29 @@
                 tasks.spawn(server.run(listener)).detach();
             }
         }
-        let drain = engine.clone();
+        let (drain, again) = (engine.clone(), reload.0);
         let signalled = async move {
-            while signals.next().await.is_some() {
-                post(&drain, engine::EngineMail::Drain).await;
+            while let Some(signal) = signals.next().await {
+                match signal {
+                    // One that waits already reads the same file.
+                    Ok(Signal::Hup) => drop(again.try_send(())),
+                    _ => post(&drain, engine::EngineMail::Drain).await,
+                }
             }
         };
         tasks.spawn(signalled).detach();
+        let reloads = reload.1;
+        let reloaded = async move {
+            let mut origin = origin;
+            while reloads.recv().await.is_ok() {
+                if let Some(source) = origin.again() {
+                    if let Some(sources) = &sources {
+                        let _ = sources.send(source).await;
+                    }
+                }
+            }
+        };
+        tasks.spawn(reloaded).detach();
         let drain = engine.clone();
         let told = async move {
             while stop.1.recv().await.is_ok() {
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -31,7 +31,10 @@
     let config = read("NODE_CONFIG", &node().to_string(), &[("NODE_LISTEN", "127.0.0.2:1")]).expect("fine");
     let platform = config.platform.expect("the platform's front is on");
     assert_eq!(platform.listen.to_string(), "127.0.0.2:1");
-    assert_eq!((config.name.as_str(), config.seed, platform.known_no), ("n3", 0x8c1f_30d2_7a5b_e964, 3));
+    assert_eq!(
+        (config.name.as_str(), config.seed, platform.source.known_no),
+        ("n3", 0x8c1f_30d2_7a5b_e964, 3)
+    );
     assert_eq!(config.connect_timeout, 0.25);
     assert_eq!(config.tenants[0].name, "acme");
     assert!(config.sip.is_none(), "off on the platform");
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -90,6 +90,30 @@
     });
 }
 
+/// Guards the numbers of the list: what is missing, cut or unreadable has to be asked for again, once, and an event
+/// written twice counts once.
+#[test]
+fn a_gap_in_the_bulletin_is_asked_for_again() {
+    let mut list = List::default();
+    let event = |no: u64, id: &str, state: &str| {
+        format!(
+            r#"{{"no":{no},"roster":{{"instances":[{{"instanceId":"{id}","hostPort":"10.1.0.9:1","cell":2,"lifecycle":"{state}"}}]}}}}"#
+        )
+    };
+    let mut id_of = |line: &str| match list.line(line) {
+        Ok(Some((_, listed))) => format!("{:?}", listed[0].office.id.0),
+        Ok(None) => "old".to_owned(),
+        Err(_) => "again".to_owned(),
+    };
+    let heard = [event(1, "a", "ready"), event(1, "a", "ready"), "1".into(), "2".into(), "2".into()];
+    assert_eq!(heard.map(|line| id_of(&line)), ["1", "old", "old", "again", "old"]);
+    // What the bulletin leaves out though asked was never written.
+    let heard = [event(5, "b", "ready"), event(5, "b", "ready"), event(6, "b", "gone")[..40].into()];
+    assert_eq!(heard.map(|line| id_of(&line)), ["again", "2", "again"]);
+    // An exchange that is gone is forgotten: its id never comes back.
+    assert_eq!([event(6, "b", "gone"), event(7, "b", "ready")].map(|line| id_of(&line)), ["2", "3"]);
+}
+
 #[test]
 fn the_lines_of_the_simulator() {
     let valid = br#"{"batch":{"at_time":8.4,"frame":1}}
--- a/tests/platform_loopback.rs
+++ b/tests/platform_loopback.rs
@@ -31,9 +31,18 @@
 struct Bench {
     proxy: SocketAddr,
     stop: smol::channel::Sender<()>,
-    thread: JoinHandle<std::io::Result<()>>,
+    thread: Option<JoinHandle<std::io::Result<()>>>,
     exchange: TcpListener,
     bulletin: TcpListener,
+    reload: smol::channel::Sender<()>,
+    config: Value,
+    path: std::path::PathBuf,
+}
+
+impl Drop for Bench {
+    fn drop(&mut self) {
+        std::fs::remove_file(&self.path).expect("the file is there");
+    }
 }
 
 fn event(no: u64, reset: bool, lifecycle: &str, exchange: SocketAddr) -> Value {
@@ -64,11 +73,20 @@
         let path = std::env::temp_dir().join(name);
         std::fs::write(&path, config.to_string()).expect("a file");
         let env = BTreeMap::from([("NODE_CONFIG".to_owned(), path.display().to_string())]);
-        let config = Config::read(&env);
-        std::fs::remove_file(&path).expect("the file is there");
-        let node = Node::bind(config.expect("fine")).expect("sockets");
-        let (proxy, stop) = (node.platform_addr().expect("it is on"), node.stopper());
-        Bench { proxy, stop, thread: thread::spawn(|| node.run()), exchange, bulletin }
+        let node = Node::bind(Config::read(&env).expect("fine")).expect("sockets");
+        let (proxy, stop, reload) =
+            (node.platform_addr().expect("it is on"), node.stopper(), node.reloader());
+        let thread = Some(thread::spawn(|| node.run()));
+        Bench { proxy, stop, thread, exchange, bulletin, reload, config, path }
+    }
+
+    /// Puts a file in the place of the configuration's and has it read.
+    fn reload(&self, text: &str) {
+        std::fs::write(&self.path, text).expect("a file");
+        self.reload.try_send(()).expect("it runs");
+        while !self.reload.is_empty() {
+            thread::yield_now();
+        }
     }
 
     /// The connection to the exchange, once the state of its group is told.
@@ -87,9 +105,14 @@
     }
 
     /// Tells the program to end and waits for it.
-    fn end(self) {
+    fn end(mut self) {
         self.stop.try_send(()).expect("it runs");
-        self.thread.join().expect("no panic").expect("it drained");
+        self.drained();
+    }
+
+    fn drained(&mut self) {
+        let thread = self.thread.take().expect("it was started");
+        thread.join().expect("no panic").expect("it drained");
     }
 }
 
@@ -240,21 +263,19 @@
 /// are released to their callers as cut, and its set-ups end.
 #[test]
 fn the_calls_of_a_dead_exchange_are_released_to_their_callers() {
-    let bench = Bench::start();
+    let mut bench = Bench::start();
     let mut peer = bench.peer();
     let mut caller = bench.caller();
     caller.stand(&mut peer, "stands");
     caller.say(&invite("out"));
     peer.hear("INVITE");
-    let Bench { proxy: _, stop, thread, exchange, bulletin } = bench;
-    drop((exchange, peer));
+    let nowhere = std::mem::replace(&mut bench.exchange, listener());
+    drop((nowhere, peer));
     let mut ends = [caller.receive().expect("an end"), caller.receive().expect("an end")];
     ends.sort_by_key(|m| m.status());
     assert_eq!((ends[0].method(), ends[0].get("Reason")), (Some("BYE"), Some("Q.850;cause=41")));
     assert_eq!((ends[1].status(), ends[1].get("Call-ID")), (Some(503), Some("out")));
-    stop.try_send(()).expect("it runs");
-    thread.join().expect("no panic").expect("it drained");
-    drop(bulletin);
+    bench.end();
 }
 
 /// Guards against a machine that vanishes: it leaves its connection open and silent, and only the list tells that
@@ -304,19 +325,45 @@
     bench.end();
 }
 
+/// What the proxy asks a bulletin.
+fn asked(bulletin: &TcpListener) -> (TcpStream, String) {
+    let stream = bulletin.accept().expect("the proxy connects").0;
+    let mut line = String::new();
+    BufReader::new(stream.try_clone().expect("a handle")).read_line(&mut line).expect("a line");
+    (stream, line)
+}
+
+/// Guards against SIGHUP: it ended the program, and on the days with new configurations that was a crash. A bad
+/// file changes nothing; a good one names the bulletin to follow from the last event on, and calls go on.
+#[test]
+fn a_configuration_read_again_moves_the_bulletin_and_keeps_the_calls() {
+    let mut bench = Bench::start();
+    let mut peer = bench.peer();
+    let mut caller = bench.caller();
+    let (mut old, _) = asked(&bench.bulletin);
+    caller.stand(&mut peer, "a");
+    bench.reload("{");
+    assert_eq!(caller.test(), Some(200));
+    writeln!(old, "{}", event(4, false, "ready", addr_of(&bench.exchange))).expect("it is still followed");
+    let bulletin = listener();
+    bench.config["bulletin"] = json!(addr_of(&bulletin).to_string());
+    bench.config["known"] = json!({"no": 4, "items": []});
+    bench.reload(&bench.config.to_string());
+    let (_new, line) = asked(&bulletin);
+    assert_eq!(line, "after 4\n");
+    peer.say(&bye("a", 16));
+    peer.hear("200");
+    caller.hear("BYE");
+    bench.end();
+}
+
 /// Guards against a list that stops: silence on the bulletin's connection ends it, and the next one asks for
 /// what came since.
 #[test]
 fn the_bulletin_is_followed_over_a_silent_connection_and_drains_are_kept() {
     let bench = Bench::start();
     let mut peer = bench.peer();
-    let asked = || {
-        let stream = bench.bulletin.accept().expect("the proxy connects").0;
-        let mut line = String::new();
-        BufReader::new(stream.try_clone().expect("a handle")).read_line(&mut line).expect("a line");
-        (stream, line)
-    };
-    let (mut stream, line): (TcpStream, String) = asked();
+    let (mut stream, line) = asked(&bench.bulletin);
     assert_eq!(line, "after 3\n");
     let drains = event(4, false, "draining", addr_of(&bench.exchange));
     writeln!(stream, "3\n{drains}\n4").expect("it is sent");
@@ -338,7 +385,7 @@
         caller.say(&bye(&id, 16));
         caller.hear("200");
     }
-    let (_stream, line) = asked();
+    let (_stream, line) = asked(&bench.bulletin);
     assert_eq!(line, "after 4\n");
     bench.end();
 }
@@ -376,7 +423,7 @@
 /// Guards planned restarts: a program that is to end serves what still comes, until its last call is over.
 #[test]
 fn a_program_that_is_to_end_serves_until_its_calls_are_over() {
-    let bench = Bench::start();
+    let mut bench = Bench::start();
     let mut peer = bench.peer();
     let mut caller = bench.caller();
     caller.stand(&mut peer, "a");
@@ -388,10 +435,10 @@
     }
     assert_eq!(caller.hear("BYE").get("Call-ID"), Some("a"));
     assert_eq!(late.hear("BYE").get("Call-ID"), Some("b"));
-    bench.thread.join().expect("no panic").expect("it drained");
+    bench.drained();
 }
 
-/// The program itself: SIGTERM ends it well once nothing is left.
+/// The program itself: SIGHUP does not end it, SIGTERM ends it well once nothing is left.
 #[test]
 fn sigterm_ends_the_program_well() {
     let service = service_on_free_ports();
@@ -403,7 +450,12 @@
     let mut lines = BufReader::new(child.stderr.take().expect("its log")).lines();
     assert!(lines.any(|line| line.expect("a line").contains("SIP over UDP and TCP started")));
     let id = child.id().to_string();
-    assert!(std::process::Command::new("kill").args(["-TERM", &id]).status().expect("kill").success());
+    let send = |signal: &str| {
+        std::process::Command::new("kill").args([signal, id.as_str()]).status().expect("kill").success()
+    };
+    assert!(send("-HUP"));
+    assert!(lines.any(|line| line.expect("a line").contains("configuration read again")));
+    assert!(send("-TERM"));
     assert!(child.wait().expect("it ends").success());
     assert!(lines.any(|line| line.expect("a line").contains("drained")));
     std::fs::remove_file(service).expect("the file is there");
