Three connections to each exchange; one is closed on what can't be read

The log shows few lines: a message from an exchange dropped (5), framing lost (15). At fault: net/peer.rs, `run`: after a message that could not be read the connection stayed in use; the exchange sends nothing more there, so every set-up on it ran its time out, the module held the exchange for silent, and the releases of standing calls never came. One connection carried all calls of an exchange, so each loss of framing ended all. Also there: an answer to nothing that was open went to the core as an answer without an attempt, where a second copy of a refusal could end the next attempt; a draining exchange was taken for dead when one connection broke.

Now three connections, the emptiest takes a set-up; anything unreadable or half a message for 0.4 s closes the one it came on and resets its set-ups alone; second copies and unknown ids are ignored; dead is an exchange whose last connection is lost and that lets none come up.

Test: a_spoilt_answer_ends_its_own_connection_and_no_other.

--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -10,7 +10,7 @@
 use smol::net::TcpStream;
 use smol::Timer;
 
-use super::conn::{Conn, Heard, Over};
+use super::conn::{Conn, Heard};
 use super::engine::EngineMail;
 use super::{clock::Clock, or_late, post, Tasks};
 use crate::calls::{Far, Input, SetUp};
@@ -22,10 +22,14 @@
 /// Commands that may wait while a connection is made.
 const WAITING: usize = 512;
 const MAILBOX: usize = 4096;
-/// A message that has begun and is not whole within this is no message.
-const WHOLE_WITHIN: Duration = Duration::from_millis(400);
+/// Connections to one exchange: what spoils one ends only the set-ups on it. States come on four at most.
+pub const LINKS: usize = 3;
 /// Between two tries to connect.
 const PAUSE: Duration = Duration::from_millis(200);
+/// A message that has begun and is not whole within this is no message.
+const WHOLE_WITHIN: Duration = Duration::from_millis(400);
+/// Set-ups given up whose answer may still cross.
+const GIVEN_UP: usize = 256;
 
 /// What the actor is told.
 #[derive(Debug)]
@@ -44,6 +48,15 @@
     Retry,
 }
 
+/// One connection.
+struct Link {
+    conn: Conn,
+    /// When it came up.
+    since: Time,
+    /// Set-ups open on it.
+    out: BTreeMap<CallId, u32>,
+}
+
 struct Peer {
     office: OfficeId,
     addr: SocketAddr,
@@ -54,17 +67,16 @@
     engine: Sender<EngineMail>,
     own_mailbox: Sender<PeerMail>,
     condition: Condition,
-    conn: Option<Conn>,
-    /// The number of the present connection; what an older one still brings is ignored.
-    conn_no: u64,
-    /// When it came up.
-    conn_at: Time,
-    connecting: bool,
-    /// A connection was lost and no new one has come up since.
+    /// Connections by number; what one that is no longer here still brings is ignored.
+    links: BTreeMap<u64, Link>,
+    next: u64,
+    connecting: usize,
+    /// A try to connect is due.
+    retrying: bool,
+    /// The last connection was lost and no new one has come up since.
     suspect: bool,
     waiting: VecDeque<(CallId, Far)>,
-    /// Set-ups open on the connection.
-    out: BTreeMap<CallId, u32>,
+    given_up: VecDeque<CallId>,
 }
 
 /// Starts the actor; it ends when its handle is dropped and its exchange is gone.
@@ -88,13 +100,13 @@
         engine,
         own_mailbox: mailbox.clone(),
         condition: Condition::On,
-        conn: None,
-        conn_no: 0,
-        conn_at: clock.now(),
-        connecting: false,
+        links: BTreeMap::new(),
+        next: 0,
+        connecting: 0,
+        retrying: false,
         suspect: false,
         waiting: VecDeque::new(),
-        out: BTreeMap::new(),
+        given_up: VecDeque::new(),
     };
     tasks.spawn(peer.run(mail)).detach();
     mailbox
@@ -109,10 +121,12 @@
                 PeerMail::Condition(Condition::Off) => {
                     tracing::info!(office = self.office.0, addr = %self.addr, "exchange gone");
                     self.condition = Condition::Off;
-                    // Whatever is still queued goes out before the connection closes.
-                    self.conn = None;
+                    // Whatever is still queued goes out before the connections close.
+                    let links = std::mem::take(&mut self.links);
                     self.fail_waiting().await;
-                    self.end_open().await;
+                    for link in links.into_values() {
+                        self.end_open(link).await;
+                    }
                     return;
                 }
                 PeerMail::Condition(condition) => {
@@ -123,92 +137,92 @@
                     }
                 }
                 PeerMail::Started(at) => {
-                    // A machine that vanished left its connection open and silent.
-                    if self.conn.is_some() && self.conn_at < at {
+                    // A machine that vanished left its connections open and silent.
+                    let old: Vec<u64> =
+                        self.links.iter().filter(|(_, l)| l.since < at).map(|(no, _)| *no).collect();
+                    for no in old {
                         tracing::info!(office = self.office.0, "exchange restarted: connecting again");
-                        self.conn = None;
-                        self.end_open().await;
-                        self.connect();
+                        if let Some(link) = self.links.remove(&no) {
+                            self.end_open(link).await;
+                        }
                     }
+                    self.connect();
                 }
                 PeerMail::Connected(Ok(stream)) => self.connected(stream),
                 PeerMail::Connected(Err(error)) => self.refused(error).await,
-                PeerMail::Heard(no, heard) if no == self.conn_no && self.conn.is_some() => match heard {
-                    Heard::Message(Ok(message)) => self.message(message).await,
-                    Heard::Message(Err(fault)) => {
-                        tracing::warn!(office = self.office.0, %fault, "message from an exchange dropped");
-                    }
-                    Heard::Over(over) => self.lost(over).await,
-                },
-                PeerMail::Heard(..) => {}
-                PeerMail::Retry => self.connect(),
+                PeerMail::Heard(no, _) if !self.links.contains_key(&no) => {}
+                PeerMail::Heard(no, Heard::Message(Ok(message))) => self.message(no, message).await,
+                // Nothing that follows on the same connection can be trusted.
+                PeerMail::Heard(no, Heard::Message(Err(fault))) => self.lost(no, fault.to_string()).await,
+                PeerMail::Heard(no, Heard::Over(over)) => self.lost(no, format!("{over:?}")).await,
+                PeerMail::Retry => {
+                    self.retrying = false;
+                    self.connect();
+                }
             }
         }
     }
 
     fn connect(&mut self) {
-        if self.connecting || self.conn.is_some() || self.condition == Condition::Off {
-            return;
+        while self.links.len() + self.connecting < LINKS && !self.retrying && self.condition != Condition::Off
+        {
+            self.connecting += 1;
+            let (addr, mailbox) = (self.addr, self.own_mailbox.clone());
+            let limit = Duration::from_secs_f64(self.connect_timeout.max(0.001));
+            let connect = async move {
+                let got = or_late(limit, TcpStream::connect(addr)).await;
+                let _ = mailbox.send(PeerMail::Connected(got)).await;
+            };
+            self.tasks.spawn(connect).detach();
         }
-        self.connecting = true;
-        let (addr, mailbox) = (self.addr, self.own_mailbox.clone());
-        let limit = Duration::from_secs_f64(self.connect_timeout.max(0.001));
-        let connect = async move {
-            let got = or_late(limit, TcpStream::connect(addr)).await;
-            let _ = mailbox.send(PeerMail::Connected(got)).await;
-        };
-        self.tasks.spawn(connect).detach();
     }
 
     fn connected(&mut self, stream: TcpStream) {
-        self.connecting = false;
+        self.connecting -= 1;
         self.suspect = false;
-        self.conn_no += 1;
-        self.conn_at = self.clock.now();
-        let no = self.conn_no;
+        self.next += 1;
+        let no = self.next;
         let wrap = move |heard| PeerMail::Heard(no, heard);
-        self.conn = Some(Conn::open(&self.tasks, stream, self.own_mailbox.clone(), WHOLE_WITHIN, wrap));
+        let conn = Conn::open(&self.tasks, stream, self.own_mailbox.clone(), WHOLE_WITHIN, wrap);
+        self.links.insert(no, Link { conn, since: self.clock.now(), out: BTreeMap::new() });
         tracing::debug!(office = self.office.0, addr = %self.addr, "connected");
         for (id, far) in std::mem::take(&mut self.waiting) {
-            self.put(&id, far);
+            self.put(id, far);
         }
     }
 
-    /// No connection comes up: nothing ran, and if one was lost just before, the process is dead.
+    /// A connection does not come up. Where there is no other nothing ran, and if the last one was lost just before,
+    /// the process is dead.
     async fn refused(&mut self, error: std::io::Error) {
-        self.connecting = false;
+        self.connecting -= 1;
         tracing::debug!(office = self.office.0, %error, "connection refused");
-        self.fail_waiting().await;
-        if std::mem::take(&mut self.suspect) {
-            self.died().await;
+        if self.links.is_empty() && self.connecting == 0 {
+            self.fail_waiting().await;
+            if std::mem::take(&mut self.suspect) {
+                tracing::warn!(office = self.office.0, "exchange died: its calls are released");
+                self.tell(Input::Died(self.office)).await;
+            }
+        }
+        if !std::mem::replace(&mut self.retrying, true) {
+            let mailbox = self.own_mailbox.clone();
+            let retry = async move {
+                Timer::after(PAUSE).await;
+                let _ = mailbox.send(PeerMail::Retry).await;
+            };
+            self.tasks.spawn(retry).detach();
         }
-        let mailbox = self.own_mailbox.clone();
-        let retry = async move {
-            Timer::after(PAUSE).await;
-            let _ = mailbox.send(PeerMail::Retry).await;
-        };
-        self.tasks.spawn(retry).detach();
-    }
-
-    async fn died(&mut self) {
-        tracing::warn!(office = self.office.0, "exchange died: its calls are released");
-        self.tell(Input::Died(self.office)).await;
     }
 
-    async fn lost(&mut self, over: Over) {
-        tracing::info!(office = self.office.0, ?over, "connection lost");
-        self.conn = None;
-        self.end_open().await;
-        if self.condition == Condition::On {
-            self.suspect = true;
-            self.connect();
-        } else {
-            self.died().await;
-        }
+    async fn lost(&mut self, no: u64, why: String) {
+        let Some(link) = self.links.remove(&no) else { return };
+        tracing::info!(office = self.office.0, why, open = link.out.len(), "connection lost");
+        self.suspect |= self.links.is_empty();
+        self.connect();
+        self.end_open(link).await;
     }
 
-    async fn end_open(&mut self) {
-        for (id, leg) in std::mem::take(&mut self.out) {
+    async fn end_open(&mut self, link: Link) {
+        for (id, leg) in link.out {
             self.ended(id, Some(leg), Outcome::Reset, Why::Unsaid, Report::default()).await;
         }
     }
@@ -231,8 +245,8 @@
     }
 
     async fn command(&mut self, id: CallId, far: Far) {
-        if self.conn.is_some() {
-            return self.put(&id, far);
+        if !self.links.is_empty() {
+            return self.put(id, far);
         }
         match far {
             Far::SetUp(set_up) if self.waiting.len() >= WAITING => {
@@ -256,66 +270,92 @@
             .with("CSeq", format_args!("{cseq} {method}"))
     }
 
-    fn put(&mut self, id: &CallId, far: Far) {
-        let Some(conn) = &self.conn else { return };
-        let message = match far {
+    /// Puts a command on a connection: a set-up where the fewest are open.
+    fn put(&mut self, id: CallId, far: Far) {
+        let (no, message) = match far {
             Far::SetUp(SetUp { leg, class, number, description, until, .. }) => {
                 let left = ((until - self.clock.now()) * 1000.0).max(1.0);
-                self.out.insert(id.clone(), leg);
-                let mut message = self.request("INVITE", &number, id, 1);
+                let mut message = self.request("INVITE", &number, &id, 1);
                 message = message.with("X-Tier", class).with("X-Deadline", left.round());
                 message.body = description.to_vec();
-                message
+                let Some((no, link)) = self.links.iter_mut().min_by_key(|(_, link)| link.out.len()) else {
+                    return;
+                };
+                link.out.insert(id, leg);
+                (*no, message)
             }
             Far::GiveUp { leg } => {
-                if self.out.get(id) != Some(&leg) {
+                let mut links = self.links.iter_mut();
+                let Some((no, link)) = links.find(|(_, link)| link.out.get(&id) == Some(&leg)) else {
                     return;
+                };
+                link.out.remove(&id);
+                let no = *no;
+                let message = self.request("CANCEL", "call", &id, 1);
+                self.given_up.push_back(id);
+                if self.given_up.len() > GIVEN_UP {
+                    self.given_up.pop_front();
                 }
-                self.out.remove(id);
-                self.request("CANCEL", "call", id, 1)
+                (no, message)
+            }
+            Far::Release { .. } => {
+                let Some(no) = self.links.keys().next() else { return };
+                (*no, self.request("BYE", "call", &id, 2).with("Reason", "Q.850;cause=16"))
             }
-            Far::Release { .. } => self.request("BYE", "call", id, 2).with("Reason", "Q.850;cause=16"),
         };
-        conn.write(&message);
+        self.write(no, &message);
     }
 
-    fn reply(&self, message: &Message) {
-        if let Some(conn) = &self.conn {
-            conn.write(message);
+    fn write(&self, no: u64, message: &Message) {
+        if let Some(link) = self.links.get(&no) {
+            link.conn.write(message);
         }
     }
 
-    async fn message(&mut self, message: Message) {
+    async fn message(&mut self, no: u64, message: Message) {
         let id = CallId(message.get("Call-ID").unwrap_or("").to_owned());
         let report = message.get("X-Gauges").map(gauges).unwrap_or_default();
         match message.method() {
             Some("NOTIFY") => self.tell(Input::Status { office: self.office, report }).await,
             Some("BYE") => {
-                self.reply(&Message::response(200, "OK", &message.headers));
+                self.write(no, &Message::response(200, "OK", &message.headers));
                 let whole = cause(&message) == Some(16);
                 self.tell(Input::Released { id, office: self.office, whole, report }).await;
             }
-            Some("OPTIONS") => self.reply(&Message::response(200, "OK", &message.headers)),
+            Some("OPTIONS") => self.write(no, &Message::response(200, "OK", &message.headers)),
             Some("ACK") => {}
-            Some(_) => self.reply(&Message::response(405, "Method Not Allowed", &message.headers)),
-            None => self.response(id, message, report).await,
+            Some(_) => self.write(no, &Message::response(405, "Method Not Allowed", &message.headers)),
+            None => self.response(no, id, message, report).await,
         }
     }
 
-    async fn response(&mut self, id: CallId, message: Message, report: Report) {
+    async fn response(&mut self, no: u64, id: CallId, message: Message, report: Report) {
         let (Some(status), Some((_, "INVITE"))) = (message.status(), message.cseq()) else { return };
         if status < 200 {
             return;
         }
         // Answers are matched by Call-ID and method alone: the number in CSeq tells no attempt.
-        let leg = self.out.remove(&id);
-        self.reply(&self.request("ACK", "call", &id, 1));
+        let leg = self.links.get_mut(&no).and_then(|link| link.out.remove(&id));
+        let crossed = self.given_up.iter().position(|given_up| *given_up == id);
+        if leg.is_none() && crossed.is_none() {
+            // A second copy, or an id that nobody asked for: it ends nothing that is open elsewhere.
+            tracing::debug!(office = self.office.0, call = id.0, "answer to nothing that is open");
+            return;
+        }
+        self.write(no, &self.request("ACK", "call", &id, 1));
+        if leg.is_none() {
+            crossed.and_then(|ix| self.given_up.remove(ix));
+        }
         if status < 300 {
             let description = Arc::from(message.body);
             return self.tell(Input::Answered { id, office: self.office, leg, description }).await;
         }
         let (outcome, why) = verdict(status, message.get("X-Outcome"));
-        self.ended(id, leg, outcome, why, report).await;
+        if leg.is_some() {
+            self.ended(id, leg, outcome, why, report).await;
+        } else if report != Report::default() {
+            self.tell(Input::Status { office: self.office, report }).await;
+        }
     }
 }
 
--- a/tests/platform_loopback.rs
+++ b/tests/platform_loopback.rs
@@ -5,11 +5,12 @@
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver};
 use std::thread::{self, JoinHandle};
 use std::time::{SystemTime, UNIX_EPOCH};
 
 use mallowring::config::Config;
-use mallowring::net::Node;
+use mallowring::net::{peer::LINKS, Node};
 use mallowring::sip::header::Transport;
 use mallowring::sip::message::Message;
 use serde_json::{json, Value};
@@ -23,9 +24,60 @@
     listener.local_addr().expect("an address")
 }
 
-/// A connection of the proxy's to a stand-in.
-fn taken(listener: &TcpListener) -> Line {
-    Line::of(listener.accept().expect("the proxy connects").0)
+/// The stand-in exchange's end of all connections that the proxy keeps to it.
+struct Peer {
+    lines: Vec<TcpStream>,
+    heard: Receiver<(usize, Option<Message>)>,
+    /// Where it heard last, and so where it speaks.
+    last: usize,
+}
+
+/// The connections of the proxy's to a stand-in.
+fn taken(listener: &TcpListener) -> Peer {
+    let (tell, heard) = channel();
+    let take = |ix| {
+        let stream = listener.accept().expect("the proxy connects").0;
+        let (mut line, tell) = (Line::of(stream.try_clone().expect("a handle")), tell.clone());
+        thread::spawn(move || loop {
+            let message = line.receive();
+            let over = message.is_none();
+            if tell.send((ix, message)).is_err() || over {
+                return;
+            }
+        });
+        stream
+    };
+    Peer { lines: (0..LINKS).map(take).collect(), heard, last: 0 }
+}
+
+impl Peer {
+    fn say(&mut self, message: &Message) {
+        self.lines[self.last].write_all(&message.bytes()).expect("it is sent");
+    }
+
+    fn receive(&mut self) -> Option<Message> {
+        let (ix, message) = self.heard.recv().expect("a message or an end");
+        self.last = ix;
+        message
+    }
+
+    fn hear(&mut self, what: &str) -> Message {
+        let message = self.receive().expect("a message");
+        assert_eq!(said(&message), what, "{message:?}");
+        message
+    }
+}
+
+impl Drop for Peer {
+    fn drop(&mut self) {
+        for line in &self.lines {
+            let _ = line.shutdown(std::net::Shutdown::Both);
+        }
+    }
+}
+
+fn said(message: &Message) -> String {
+    message.method().map_or_else(|| message.status().unwrap_or(0).to_string(), str::to_owned)
 }
 
 struct Bench {
@@ -90,7 +142,7 @@
     }
 
     /// The connection to the exchange, once the state of its group is told.
-    fn peer(&self) -> Line {
+    fn peer(&self) -> Peer {
         let mut peer = taken(&self.exchange);
         peer.say(&notify());
         let mut caller = self.caller();
@@ -155,7 +207,7 @@
     fn say(&mut self, message: &Message);
     fn hear(&mut self, what: &str) -> Message;
     fn test(&mut self) -> Option<u16>;
-    fn stand(&mut self, peer: &mut Line, id: &str);
+    fn stand(&mut self, peer: &mut Peer, id: &str);
 }
 
 impl Speaks for Line {
@@ -166,8 +218,7 @@
     /// The next message, which is a request of this method or a response of this code.
     fn hear(&mut self, what: &str) -> Message {
         let message = self.receive().expect("a message");
-        let said = message.method().map_or_else(|| message.status().unwrap_or(0).to_string(), str::to_owned);
-        assert_eq!(said, what, "{message:?}");
+        assert_eq!(said(&message), what, "{message:?}");
         message
     }
 
@@ -179,7 +230,7 @@
     }
 
     /// Sets a call of this caller's up at an exchange.
-    fn stand(&mut self, peer: &mut Line, id: &str) {
+    fn stand(&mut self, peer: &mut Peer, id: &str) {
         self.say(&invite(id));
         let mut success = Message::response(200, "OK", &peer.hear("INVITE").headers);
         success.body = b"answer\0\xff\r\n\r\n".to_vec();
@@ -382,6 +433,46 @@
     bench.end();
 }
 
+/// Guards against spoilt answers: one that could not be read was dropped and its connection kept, though nothing that
+/// follows on it can be trusted; then everything there timed out. It ends the set-ups of its own connection alone.
+#[test]
+fn a_spoilt_answer_ends_its_own_connection_and_no_other() {
+    let bench = Bench::start();
+    let mut peer = bench.peer();
+    let mut caller = bench.caller();
+    let mut out = Vec::new();
+    for name in ["a", "b"] {
+        caller.say(&invite(name));
+        out.push((peer.hear("INVITE"), peer.last));
+    }
+    assert_ne!(out[0].1, out[1].1, "set-ups are spread");
+    peer.last = out[0].1;
+    peer.lines[peer.last]
+        .write_all(b"SIP/2.0 2x0 OK\r\nCall-ID: ?\r\nContent-Length: 0\r\n\r\n")
+        .expect("sent");
+    assert!(peer.receive().is_none(), "it is closed");
+    // The other is answered on its own connection; a second copy and an unknown id mean nothing.
+    peer.last = out[1].1;
+    let success = Message::response(200, "OK", &out[1].0.headers);
+    peer.say(&Message::response(200, "OK", &invite("stranger").headers));
+    peer.say(&success);
+    peer.say(&success);
+    assert_eq!(peer.hear("ACK").get("Call-ID"), Some(id_of("b").as_str()));
+    assert_eq!(caller.hear("200").get("Call-ID"), Some(id_of("b").as_str()));
+    // The first is tried again after the pause.
+    let again = peer.hear("INVITE");
+    assert_eq!(again.get("Call-ID"), Some(id_of("a").as_str()));
+    peer.say(&Message::response(200, "OK", &again.headers));
+    peer.hear("ACK");
+    caller.hear("200");
+    for name in ["a", "b"] {
+        peer.say(&bye(name, 16));
+        peer.hear("200");
+        caller.hear("BYE");
+    }
+    bench.end();
+}
+
 /// Guards against a list that stops: silence on the bulletin's connection ends it, and the next one asks for
 /// what came since.
 #[test]
