Only direct set-ups are overtaken; what a closed connection carried is released

Ruled out: a list that stopped (all events came), deaths wrongly taken (each was in the list within a second), memory (12 of 32 MB, level from the half on).

Now an attempt says whether it goes straight to its destination; only such are overtaken. What was open on a connection that is closed from here is released on another one. A draining exchange that has stopped is not connected to again, as a new one may have its address, and is dead at once. The call table forgets exchanges that are gone, and the news of the list reach an actor whose mailbox is full.

--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -190,6 +190,8 @@
     pub number: String,
     /// The circuits it takes.
     pub width: u32,
+    /// It goes straight to its destination, and so stands in the line of that exchange alone.
+    pub direct: bool,
     /// What the caller describes.
     pub description: Arc<[u8]>,
     /// When it is given up.
--- a/src/calls/table.rs
+++ b/src/calls/table.rs
@@ -27,6 +27,7 @@
     tenant: Option<String>,
     class: String,
     number: String,
+    dest: ExchangeNo,
     width: u32,
     description: Arc<[u8]>,
     deadline: Time,
@@ -42,7 +43,7 @@
     tenants: Tenants,
     controller: Controller,
     calls: BTreeMap<CallId, Call>,
-    offices: BTreeMap<OfficeId, (Condition, Option<Time>)>,
+    offices: BTreeMap<OfficeId, (Condition, Option<Time>, ExchangeNo)>,
     /// Since when an exchange drains or is gone.
     closed_at: BTreeMap<OfficeId, Time>,
     numbers: BTreeSet<ExchangeNo>,
@@ -103,7 +104,7 @@
 
     /// The list is in, and the state of the trunk group to every exchange on it.
     pub fn informed(&self) -> bool {
-        let mut on = self.offices.iter().filter(|(_, (c, _))| *c == Condition::On).map(|(id, _)| id);
+        let mut on = self.offices.iter().filter(|(_, (c, ..))| *c == Condition::On).map(|(id, _)| id);
         !self.offices.is_empty() && on.all(|id| self.own_offices.contains(id) || self.heard.contains(id))
     }
 
@@ -123,7 +124,10 @@
                 self.on_released(now, id, office, whole, report, out);
             }
             Input::Status { office, report } => {
-                self.heard.insert(office);
+                // A state may cross the news that its exchange is gone.
+                if self.offices.contains_key(&office) {
+                    self.heard.insert(office);
+                }
                 self.decide(now, Event::Status { office, ok: true, took: 0.0, report }, out);
             }
             Input::Died(office) => self.on_died(now, office, now, out),
@@ -169,6 +173,7 @@
             tenant,
             class: request.class,
             number: request.number.clone(),
+            dest: request.dest,
             width: request.width,
             description: request.description,
             deadline: now + ttl,
@@ -349,9 +354,9 @@
             if self.settings.own == Some(office.number) {
                 self.own_offices.insert(office.id);
             }
-            let old = self.offices.insert(office.id, (office.condition, office.ready_at));
-            let restarted = old.is_some_and(|(_, at)| at != office.ready_at);
-            if office.condition == Condition::Off && old.is_some_and(|(c, _)| c != Condition::Off) {
+            let old = self.offices.insert(office.id, (office.condition, office.ready_at, office.number));
+            let restarted = old.is_some_and(|(_, at, _)| at != office.ready_at);
+            if office.condition == Condition::Off && old.is_some_and(|(c, ..)| c != Condition::Off) {
                 dead.push((office.id, now));
             } else if restarted {
                 dead.push((office.id, office.ready_at.unwrap_or(now)));
@@ -367,6 +372,20 @@
         for (office, before) in dead {
             self.on_died(now, office, before, out);
         }
+        // Ids never come back: what is gone is as good as never listed.
+        let offices = &mut self.offices;
+        offices.retain(|_, (condition, ..)| *condition != Condition::Off);
+        self.closed_at.retain(|id, _| offices.contains_key(id));
+        self.own_offices.retain(|id| offices.contains_key(id));
+        self.heard.retain(|id| offices.contains_key(id));
+    }
+
+    /// Exchanges that are remembered.
+    pub fn exchanges(&self) -> usize {
+        [self.offices.len(), self.closed_at.len(), self.own_offices.len(), self.heard.len()]
+            .into_iter()
+            .max()
+            .unwrap_or(0)
     }
 
     fn on_wake(&mut self, now: Time, wake: Wake, out: &mut Vec<Command>) {
@@ -496,8 +515,10 @@
         }
         let until = if abandon_at.0 > 0.0 && abandon_at < call.deadline { abandon_at } else { call.deadline };
         call.stage = Stage::Out { office, leg, sent: now };
+        let direct = self.offices.get(&office).is_some_and(|(.., number)| *number == call.dest);
         let set_up = SetUp {
             leg,
+            direct,
             class: call.class.clone(),
             number: call.number.clone(),
             width: call.width,
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use smol::channel::{Receiver, Sender};
+use smol::channel::{Receiver, Sender, TrySendError};
 use smol::Timer;
 
 use super::bulletin::Listed;
@@ -95,7 +95,7 @@
                     self.carry_out(&mut commands, &peers).await;
                     for office in gone {
                         if let Some(peer) = peers.remove(&office) {
-                            let _ = peer.try_send(PeerMail::Condition(Condition::Off));
+                            self.inform(&peer, PeerMail::Condition(Condition::Off));
                         }
                     }
                 }
@@ -142,6 +142,14 @@
         self.tasks.spawn(wait).detach();
     }
 
+    /// Tells an exchange's actor of news that must not be lost: where its mailbox is full they wait for room.
+    fn inform(&self, peer: &Sender<PeerMail>, news: PeerMail) {
+        if let Err(TrySendError::Full(news)) = peer.try_send(news) {
+            let peer = peer.clone();
+            self.tasks.spawn(async move { post(&peer, news).await }).detach();
+        }
+    }
+
     /// Starts an actor for every new exchange and tells the others; returns those that are gone.
     fn follow(
         &self,
@@ -159,9 +167,9 @@
                         let (clock, engine) = (self.clock, self.mailbox.clone());
                         peer::start(&self.tasks, id, *addr, &self.name, self.connect_timeout, clock, engine)
                     });
-                    let _ = peer.try_send(PeerMail::Condition(condition));
+                    self.inform(peer, PeerMail::Condition(condition));
                     if let Some(at) = office.ready_at {
-                        let _ = peer.try_send(PeerMail::Started(at));
+                        self.inform(peer, PeerMail::Started(at));
                     }
                 }
                 _ => {}
--- a/src/net/peer.rs
+++ b/src/net/peer.rs
@@ -10,7 +10,7 @@
 use smol::net::TcpStream;
 use smol::Timer;
 
-use super::conn::{Conn, Heard};
+use super::conn::{Conn, Heard, Over};
 use super::engine::EngineMail;
 use super::{clock::Clock, or_late, post, Tasks};
 use crate::calls::{Far, Input, SetUp};
@@ -69,6 +69,8 @@
     leg: u32,
     sent: Time,
     until: Time,
+    /// It stands in this exchange's line alone: what overtakes it there shows that it is lost.
+    direct: bool,
 }
 
 impl Link {
@@ -177,8 +179,13 @@
                 PeerMail::Heard(no, _) if !self.links.contains_key(&no) => {}
                 PeerMail::Heard(no, Heard::Message(Ok(message))) => self.message(no, message).await,
                 // Nothing that follows on the same connection can be trusted.
-                PeerMail::Heard(no, Heard::Message(Err(fault))) => self.lost(no, fault.to_string()).await,
-                PeerMail::Heard(no, Heard::Over(over)) => self.lost(no, format!("{over:?}")).await,
+                PeerMail::Heard(no, Heard::Message(Err(fault))) => {
+                    self.lost(no, fault.to_string(), true).await
+                }
+                PeerMail::Heard(no, Heard::Over(over)) => {
+                    let ours = !matches!(over, Over::Closed | Over::Broken(_));
+                    self.lost(no, format!("{over:?}"), ours).await;
+                }
                 PeerMail::Retry => {
                     self.retrying = false;
                     self.connect();
@@ -188,7 +195,7 @@
     }
 
     fn connect(&mut self) {
-        while self.links.len() + self.connecting < LINKS && !self.retrying && self.condition != Condition::Off
+        while self.links.len() + self.connecting < LINKS && !self.retrying && self.condition == Condition::On
         {
             self.connecting += 1;
             let (addr, mailbox) = (self.addr, self.own_mailbox.clone());
@@ -224,8 +231,7 @@
         if self.links.is_empty() && self.connecting == 0 {
             self.fail_waiting().await;
             if std::mem::take(&mut self.suspect) {
-                tracing::warn!(office = self.office.0, "exchange died: its calls are released");
-                self.tell(Input::Died(self.office)).await;
+                self.died().await;
             }
         }
         if !std::mem::replace(&mut self.retrying, true) {
@@ -238,12 +244,34 @@
         }
     }
 
-    async fn lost(&mut self, no: u64, why: String) {
+    async fn died(&mut self) {
+        tracing::warn!(office = self.office.0, "exchange died: its calls are released");
+        self.suspect = false;
+        self.tell(Input::Died(self.office)).await;
+    }
+
+    async fn lost(&mut self, no: u64, why: String, ours: bool) {
         let Some(link) = self.links.remove(&no) else { return };
+        if ours {
+            // An answer may have crossed, or was the one that could not be read: nothing is left standing for it.
+            for (id, out) in &link.out {
+                let release = Far::Release { leg: Some(out.leg) };
+                match self.links.is_empty() {
+                    true => self.waiting.push_back((id.clone(), release)),
+                    false => self.put(id.clone(), release),
+                }
+            }
+            self.waiting.truncate(WAITING);
+        }
         tracing::info!(office = self.office.0, why, open = link.out.len(), "connection lost");
-        self.suspect |= self.links.is_empty();
+        let last = self.links.is_empty();
+        self.suspect |= last;
         self.connect();
         self.end_open(link).await;
+        if last && self.condition == Condition::Draining {
+            // It has stopped. Whoever listens at its address next is another one, and is on the list as such.
+            self.died().await;
+        }
     }
 
     async fn end_open(&mut self, link: Link) {
@@ -300,7 +328,7 @@
     /// Puts a command on a connection: a set-up where the fewest are open.
     fn put(&mut self, id: CallId, far: Far) {
         let (no, message) = match far {
-            Far::SetUp(SetUp { leg, class, number, description, until, .. }) => {
+            Far::SetUp(SetUp { leg, class, number, direct, description, until, .. }) => {
                 let sent = self.clock.now();
                 let left = ((until - sent) * 1000.0).max(1.0);
                 let mut message = self.request("INVITE", &number, &id, 1);
@@ -309,7 +337,7 @@
                 let Some((no, link)) = self.links.iter_mut().min_by_key(|(_, link)| link.out.len()) else {
                     return;
                 };
-                link.out.insert(id, Out { leg, sent, until });
+                link.out.insert(id, Out { leg, sent, until, direct });
                 (*no, message)
             }
             // Given up where it is out.
@@ -329,7 +357,7 @@
         };
         let Some(out) = link.out.remove(&id) else { return };
         let no = *no;
-        let ran_out = self.clock.now() >= out.until && link.is_silent_since(&out);
+        let ran_out = out.direct && self.clock.now() >= out.until && link.is_silent_since(&out);
         link.unanswered += u32::from(ran_out);
         // One that later ones overtook, or two in a row: nothing more will come here.
         let useless = ran_out && (out.sent < self.stood || link.unanswered > 1);
@@ -339,7 +367,7 @@
             self.given_up.pop_front();
         }
         if useless {
-            self.lost(no, "set-ups ran out on it".to_owned()).await;
+            self.lost(no, "set-ups ran out on it".to_owned(), true).await;
         }
     }
 
@@ -347,11 +375,13 @@
     /// later stands.
     async fn drop_silent(&mut self) {
         let now = self.clock.now();
-        let late = |out: &Out| out.sent < self.stood && now - out.sent >= OVERTAKEN * (out.until - out.sent);
+        let late = |out: &Out| {
+            out.direct && out.sent < self.stood && now - out.sent >= OVERTAKEN * (out.until - out.sent)
+        };
         let silent = |link: &Link| link.out.values().any(|out| late(out) && link.is_silent_since(out));
         let silent: Vec<u64> = self.links.iter().filter(|(_, l)| silent(l)).map(|(no, _)| *no).collect();
         for no in silent {
-            self.lost(no, "overtaken by other connections".to_owned()).await;
+            self.lost(no, "overtaken by other connections".to_owned(), true).await;
         }
     }
 
@@ -403,7 +433,7 @@
         if status < 300 {
             let description = Arc::from(message.body);
             self.tell(Input::Answered { id, office: self.office, leg, description }).await;
-            if let Some(out) = out.filter(|out| out.sent > self.stood) {
+            if let Some(out) = out.filter(|out| out.direct && out.sent > self.stood) {
                 self.stood = out.sent;
                 self.drop_silent().await;
             }
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -259,3 +259,18 @@
         (2, 1, 1, 1, 1)
     );
 }
+
+/// Guards memory on days when exchanges are replaced all the time: every id that ever was stayed in four maps.
+#[test]
+fn exchanges_that_are_gone_are_forgotten() {
+    let mut core = Core::new();
+    for n in 0..1000 {
+        let fresh = Office { id: OfficeId(1000 + n), ..office(3) };
+        core.put(Input::List { whole: false, offices: vec![fresh.clone()] });
+        core.put(Input::Status { office: fresh.id, report: Report::default() });
+        let gone = Office { condition: Condition::Off, ..fresh };
+        core.put(Input::List { whole: false, offices: vec![gone.clone()] });
+        core.put(Input::Status { office: gone.id, report: Report::default() });
+    }
+    assert_eq!(core.table.exchanges(), 5);
+}
