--- a/tests/platform_loopback.rs
+++ b/tests/platform_loopback.rs
@@ -494,12 +494,14 @@
 }
 
 /// Guards against a connection that stays open and brings nothing more: set-ups went on to it, each ran its time out,
-/// and the module held the exchange for silent. What later set-ups elsewhere overtake is lost, and is tried again.
+/// and the module held the exchange for silent. What later set-ups elsewhere overtake is lost, and is tried again. A
+/// release that crosses the close of the connection was thrown away, and its caller was not told.
 #[test]
 fn a_connection_that_holds_back_an_answer_is_closed() {
     let bench = Bench::start();
     let mut peer = bench.peer();
     let mut caller = bench.caller();
+    caller.stand(&mut peer, "stands");
     caller.say(&invite("lost"));
     assert_eq!(peer.hear("INVITE").get("Call-ID"), Some(id_of("lost").as_str()));
     let (held, mut closed, mut served) = (peer.last, false, Vec::new());
@@ -511,6 +513,8 @@
                 None => {
                     assert_eq!(peer.last, held);
                     closed = true;
+                    peer.say(&bye("stands", 16));
+                    assert_eq!(caller.hear("BYE").get("Call-ID"), Some(id_of("stands").as_str()));
                 }
                 Some(message) if message.method() == Some("INVITE") => {
                     peer.say(&Message::response(200, "OK", &message.headers));
