--- /dev/null
+++ b/crates/lab/src/proxy/follow.rs
@@ -0,0 +1,80 @@
+//! Writes down all that the proxies were told and commanded about some calls.
+
+use mallowring::calls::{Command, Input, Wake};
+use mallowring::interface::{CallId, Time};
+
+use super::{Seats, Told};
+use crate::world::day::Day;
+use crate::world::EPOCH;
+use crate::LabError;
+
+/// A fleet with an ear.
+pub struct Follow<S> {
+    inner: S,
+    calls: Vec<CallId>,
+    /// What was heard, a line each.
+    pub lines: Vec<String>,
+}
+
+impl<S> Follow<S> {
+    /// Listens for these calls.
+    pub fn new(inner: S, calls: Vec<CallId>) -> Self {
+        Follow { inner, calls, lines: Vec::new() }
+    }
+
+    fn line(&mut self, now: Time, proxy: usize, what: &str) {
+        self.lines.push(format!("{:10.4} s  proxy {proxy}  {what}", now.0 - EPOCH));
+    }
+}
+
+fn told_of(input: &Input) -> Option<&CallId> {
+    match input {
+        Input::Request(request) => Some(&request.id),
+        Input::GaveUp(id)
+        | Input::Hangup(id)
+        | Input::Answered { id, .. }
+        | Input::Ended { id, .. }
+        | Input::Released { id, .. }
+        | Input::Woken(Wake::Abandon(id, _) | Wake::Deadline(id)) => Some(id),
+        _ => None,
+    }
+}
+
+fn commanded_of(command: &Command) -> Option<&CallId> {
+    match command {
+        Command::Near(_, id, _) | Command::Far(_, id, _) => Some(id),
+        _ => None,
+    }
+}
+
+impl<S: Seats> Seats for Follow<S> {
+    fn start(&mut self, day: &Day, proxy: usize, now: Time, seed: u64) -> Result<(), LabError> {
+        self.inner.start(day, proxy, now, seed)
+    }
+
+    fn stop(&mut self, proxy: usize) -> Result<(), LabError> {
+        self.inner.stop(proxy)
+    }
+
+    fn tick(&mut self, now: Time, told: Told, out: &mut Vec<(usize, Command)>) -> Result<(), LabError> {
+        for (proxy, inputs) in &told {
+            for input in inputs {
+                if told_of(input).is_some_and(|id| self.calls.contains(id)) {
+                    self.line(now, *proxy, &format!("<- {input:?}"));
+                }
+            }
+        }
+        let from = out.len();
+        self.inner.tick(now, told, out)?;
+        for (proxy, command) in &out[from..] {
+            if commanded_of(command).is_some_and(|id| self.calls.contains(id)) {
+                self.line(now, *proxy, &format!("-> {command:?}"));
+            }
+        }
+        Ok(())
+    }
+
+    fn levels(&self, proxy: usize) -> Option<(usize, usize)> {
+        self.inner.levels(proxy)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/proxy/mod.rs
@@ -0,0 +1,55 @@
+//! Who sits in the proxies' seats: the shipped call table with the shipped module, a program that speaks the
+//! simulator's wire, both side by side, or a policy made for a test.
+
+mod direct;
+mod follow;
+mod shipped;
+mod twin;
+mod wire;
+
+use mallowring::calls::{Command, Input};
+use mallowring::interface::Time;
+
+pub use direct::Direct;
+pub use follow::Follow;
+pub use shipped::Shipped;
+pub use twin::{Difference, Twin};
+pub use wire::Wire;
+
+use crate::world::day::Day;
+use crate::LabError;
+
+/// What the proxies of a fleet were told in one tick, by proxy.
+pub type Told = Vec<(usize, Vec<Input>)>;
+
+impl Seats for Box<dyn Seats> {
+    fn start(&mut self, day: &Day, proxy: usize, now: Time, seed: u64) -> Result<(), LabError> {
+        self.as_mut().start(day, proxy, now, seed)
+    }
+    fn stop(&mut self, proxy: usize) -> Result<(), LabError> {
+        self.as_mut().stop(proxy)
+    }
+    fn tick(&mut self, now: Time, told: Told, out: &mut Vec<(usize, Command)>) -> Result<(), LabError> {
+        self.as_mut().tick(now, told, out)
+    }
+    fn levels(&self, proxy: usize) -> Option<(usize, usize)> {
+        self.as_ref().levels(proxy)
+    }
+}
+
+/// The signalling proxies of a fleet. They share nothing: each decides on its own inputs alone.
+pub trait Seats {
+    /// A proxy starts, knowing nothing.
+    fn start(&mut self, day: &Day, proxy: usize, now: Time, seed: u64) -> Result<(), LabError>;
+
+    /// A proxy ends, with all it knew.
+    fn stop(&mut self, proxy: usize) -> Result<(), LabError>;
+
+    /// Hands all that was told in one tick to the proxies and appends their commands in order.
+    fn tick(&mut self, now: Time, told: Told, out: &mut Vec<(usize, Command)>) -> Result<(), LabError>;
+
+    /// The level of overload that a proxy sees at its own processor, and the highest at any far one.
+    fn levels(&self, _proxy: usize) -> Option<(usize, usize)> {
+        None
+    }
+}
--- /dev/null
+++ b/crates/lab/src/proxy/twin.rs
@@ -0,0 +1,105 @@
+//! Two ways of driving one build, side by side: both are told the same, the first one's commands count, and every
+//! decision in which the second differs is noted.
+
+use std::collections::BTreeMap;
+
+use mallowring::calls::{Command, Far, Near};
+use mallowring::interface::{CallId, OfficeId, Time};
+use serde::Serialize;
+
+use super::{Seats, Told};
+use crate::world::day::Day;
+use crate::LabError;
+
+/// A decision on a call.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+enum Decision {
+    SetUp(u64),
+    Refuse,
+    Fail,
+    Reject,
+}
+
+/// A moment at which the two decided differently on a call.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Difference {
+    /// The proxies' clock, seconds.
+    pub at: f64,
+    /// The proxy.
+    pub proxy: usize,
+    /// The call.
+    pub call: String,
+    /// What the first one decided; nothing if it decided nothing.
+    pub first: String,
+    /// What the second one did.
+    pub second: String,
+}
+
+/// Two fleets that are told the same.
+pub struct Twin<A, B> {
+    first: A,
+    second: B,
+    /// Decisions compared.
+    pub decisions: u64,
+    /// Calls on which they differed, by proxy: only the first difference of a call counts.
+    pub differences: Vec<Difference>,
+    differing: std::collections::BTreeSet<(usize, CallId)>,
+}
+
+impl<A: Seats, B: Seats> Twin<A, B> {
+    /// Puts two fleets side by side.
+    pub fn new(first: A, second: B) -> Self {
+        Twin { first, second, decisions: 0, differences: Vec::new(), differing: Default::default() }
+    }
+}
+
+fn decisions(commands: &[(usize, Command)]) -> BTreeMap<(usize, CallId), Vec<Decision>> {
+    let mut by_call: BTreeMap<_, Vec<Decision>> = BTreeMap::new();
+    for (proxy, command) in commands {
+        let (id, decision) = match command {
+            Command::Far(OfficeId(office), id, Far::SetUp(_)) => (id, Decision::SetUp(*office)),
+            Command::Near(_, id, Near::Refuse(_)) => (id, Decision::Refuse),
+            Command::Near(_, id, Near::Fail) => (id, Decision::Fail),
+            Command::Near(_, id, Near::Reject(_)) => (id, Decision::Reject),
+            _ => continue,
+        };
+        by_call.entry((*proxy, id.clone())).or_default().push(decision);
+    }
+    by_call
+}
+
+impl<A: Seats, B: Seats> Seats for Twin<A, B> {
+    fn start(&mut self, day: &Day, proxy: usize, now: Time, seed: u64) -> Result<(), LabError> {
+        self.first.start(day, proxy, now, seed)?;
+        self.second.start(day, proxy, now, seed)
+    }
+
+    fn stop(&mut self, proxy: usize) -> Result<(), LabError> {
+        self.first.stop(proxy)?;
+        self.second.stop(proxy)
+    }
+
+    fn tick(&mut self, now: Time, told: Told, out: &mut Vec<(usize, Command)>) -> Result<(), LabError> {
+        let mut second = Vec::new();
+        let from = out.len();
+        self.second.tick(now, told.clone(), &mut second)?;
+        self.first.tick(now, told, out)?;
+        let (ours, theirs) = (decisions(&out[from..]), decisions(&second));
+        self.decisions += ours.values().map(Vec::len).sum::<usize>() as u64;
+        let none = Vec::new();
+        let calls: std::collections::BTreeSet<_> = ours.keys().chain(theirs.keys()).cloned().collect();
+        for key in calls {
+            let (a, b) = (ours.get(&key).unwrap_or(&none), theirs.get(&key).unwrap_or(&none));
+            if a != b && self.differing.insert(key.clone()) {
+                let (proxy, call) = key;
+                let (first, second) = (format!("{a:?}"), format!("{b:?}"));
+                self.differences.push(Difference { at: now.0, proxy, call: call.0, first, second });
+            }
+        }
+        Ok(())
+    }
+
+    fn levels(&self, proxy: usize) -> Option<(usize, usize)> {
+        self.first.levels(proxy)
+    }
+}
--- /dev/null
+++ b/crates/lab/src/traffic/recorded.rs
@@ -0,0 +1,81 @@
+//! Traffic from a file, in place of what is drawn: one line a first try, as CSV with a header.
+
+use std::path::Path;
+
+use serde::{Deserialize, Serialize};
+
+use super::{caller, mark_over_share, Caller};
+use crate::random::{stream, Purpose};
+use crate::world::day::{us, Day};
+use crate::world::SECOND;
+use crate::LabError;
+
+/// One line.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+struct Line {
+    /// Seconds from the start.
+    at_s: f64,
+    /// Exchange of the caller, from 0.
+    origin: usize,
+    /// Exchange called, from 0.
+    dest: usize,
+    /// Class by name.
+    class: String,
+    /// Subscriber by name.
+    tenant: String,
+    /// Holding time, seconds; drawn as the scenario says where it is empty.
+    hold_s: Option<f64>,
+    /// Number called.
+    number: u32,
+}
+
+/// Writes callers as a traffic file.
+pub fn write(path: &Path, day: &Day, callers: &[Caller]) -> Result<(), LabError> {
+    let fault = |e: csv::Error| LabError::File { path: path.to_owned(), source: e.into() };
+    let mut out = csv::Writer::from_path(path).map_err(fault)?;
+    for c in callers {
+        let line = Line {
+            at_s: c.at as f64 / SECOND as f64,
+            origin: c.origin,
+            dest: c.dest,
+            class: day.classes[c.class].name.clone(),
+            tenant: day.tenants[c.tenant].name.clone(),
+            hold_s: Some(c.hold as f64 / SECOND as f64),
+            number: c.number,
+        };
+        out.serialize(line).map_err(fault)?;
+    }
+    out.flush().map_err(LabError::file(path))
+}
+
+/// Reads a traffic file for a day. Habits of the callers, which a proxy never sees, are drawn as the scenario says.
+pub fn read(path: &Path, day: &Day) -> Result<Vec<Caller>, LabError> {
+    let file = |e: csv::Error| LabError::File { path: path.to_owned(), source: e.into() };
+    let mut reader = csv::Reader::from_path(path).map_err(file)?;
+    let mut callers = Vec::new();
+    for (ix, line) in reader.deserialize::<Line>().enumerate() {
+        let record = ix as u64 + 1;
+        let bad = |what: String| LabError::Traffic { path: path.to_owned(), record, what };
+        let line = line.map_err(|e| bad(e.to_string()))?;
+        let class = day.classes.iter().position(|c| c.name == line.class);
+        let class = class.ok_or_else(|| bad(format!("class '{}' is not in the scenario", line.class)))?;
+        let tenant = day.tenants.iter().position(|t| t.name == line.tenant);
+        let tenant = tenant.ok_or_else(|| bad(format!("tenant '{}' is not in the scenario", line.tenant)))?;
+        if line.origin >= day.n || line.dest >= day.n || line.origin == line.dest {
+            return Err(bad(format!("no call goes from exchange {} to {}", line.origin, line.dest)));
+        }
+        if !(line.at_s.is_finite() && line.at_s >= 0.0) || line.hold_s.is_some_and(|h| !(h > 0.0 && h < 1e6))
+        {
+            return Err(bad("want a time of 0 or above, and a holding time above 0".to_owned()));
+        }
+        let rng = &mut stream(day.seed, Purpose::Caller, ix as u64);
+        let mut c = caller(day, rng, us(line.at_s), line.origin, line.dest);
+        (c.class, c.tenant, c.number, c.width) = (class, tenant, line.number, day.classes[class].width);
+        c.hold = line.hold_s.map_or(c.hold, us).max(1);
+        callers.push(c);
+    }
+    callers.sort_by_key(|c| c.at);
+    mark_over_share(day, &mut callers);
+    Ok(callers)
+}
--- /dev/null
+++ b/crates/lab/src/world/mod.rs
@@ -0,0 +1,657 @@
+//! The world: exchanges, groups, processors, callers and troubles in simulated time. It knows the proxies only by
+//! what they are told and what they command, in the call table's own words ([`Input`], [`Command`]).
+
+pub mod account;
+pub mod day;
+mod exchange;
+mod flow;
+pub mod group;
+pub mod processor;
+mod queue;
+mod result;
+pub mod rules;
+mod trouble;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::sync::Arc;
+
+use mallowring::calls::{Command, Front, Input, Request, Wake};
+use mallowring::interface::*;
+use rand_pcg::Pcg64;
+
+use account::{Fate, Waits};
+use day::Day;
+use group::Group;
+use processor::Processor;
+use queue::Queue;
+pub use result::{DayResult, Ends, Sample};
+use rules::{Rule, Watch};
+
+use crate::proxy::{Seats, Told};
+use crate::random::{noise, stream, Purpose};
+use crate::traffic::Caller;
+use crate::LabError;
+
+/// Simulated time, µs from the start of the day.
+pub type Us = u64;
+/// One second.
+pub const SECOND: Us = 1_000_000;
+/// Where the proxies' clocks stand at the start of the day, seconds.
+pub const EPOCH: f64 = 1000.0;
+
+/// Position of an attempt.
+pub type LegIx = u32;
+/// Position of a request to a proxy.
+pub type AskIx = u32;
+
+/// The proxies' clock at a moment.
+pub fn clock(now: Us) -> Time {
+    Time(EPOCH + now as f64 / SECOND as f64)
+}
+
+/// The moment of a reading of the proxies' clock.
+fn moment(time: Time) -> Us {
+    ((time.0 - EPOCH) * SECOND as f64).round().max(0.0) as Us
+}
+
+/// What happens.
+#[derive(Debug)]
+enum Ev {
+    /// A caller's first or further try.
+    Try { caller: u32, resent: bool },
+    /// A cut call comes again.
+    Again(u32),
+    /// An impatient caller leaves.
+    Leave(AskIx),
+    /// The caller's time and the slack are over.
+    Overdue(AskIx),
+    /// Proxies handle what has come in.
+    Tick,
+    /// A processor has done a job.
+    Done { exchange: usize, serial: u64 },
+    /// A set-up reaches the far end of its leg.
+    SetUpAt(LegIx),
+    /// An answer reaches the near end of its leg.
+    AnswerAt(LegIx),
+    /// The end of a set-up reaches the near end of its leg.
+    EndAt(LegIx, Outcome, Why),
+    /// The giving up of a call in transit reaches its tandem.
+    CancelAt(AskIx),
+    /// Circuits of a leg that was given up fall free.
+    Free(LegIx),
+    /// A release reaches a far end.
+    ReleaseAt(usize),
+    /// A call has lasted its time.
+    HoldOver(AskIx),
+    /// A processor takes its figures.
+    Figures(usize),
+    /// The centre looks.
+    Look,
+    /// The day's series are continued.
+    Sample,
+    /// News reach a proxy.
+    News { proxy: usize, news: usize },
+    /// A trouble begins or goes on.
+    Trouble(trouble::Step),
+    /// A proxy's timer.
+    Wake { proxy: usize, generation: u32, wake: Wake },
+}
+
+/// Where a request to a proxy stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AskState {
+    /// No final answer yet.
+    Open,
+    /// The call stands.
+    Standing,
+    /// It got its final answer, or is over after it stood.
+    Over,
+    /// Whoever asked has left, or the proxy has died: nothing is owed.
+    Left,
+}
+
+/// A request to a proxy: a caller's try, or a call in transit.
+#[derive(Debug)]
+struct Ask {
+    caller: u32,
+    at: usize,
+    generation: u32,
+    /// The leg that brought a call in transit.
+    from: Option<LegIx>,
+    state: AskState,
+    /// The attempt that is out.
+    out: Option<LegIx>,
+    /// The latest attempt.
+    leg: Option<LegIx>,
+    attempts: u32,
+    /// No send before this.
+    blocked: Us,
+    /// How the last attempt was turned away.
+    why: Why,
+}
+
+/// Where an attempt stands.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum LegState {
+    /// On its way, with no answer.
+    Flying,
+    /// Given up by its proxy.
+    Dead,
+    /// Its answer has been told to its proxy.
+    Answered,
+    /// Over.
+    Over,
+}
+
+/// An attempt.
+#[derive(Debug)]
+struct Leg {
+    ask: AskIx,
+    number: u32,
+    from: usize,
+    to: usize,
+    office: OfficeId,
+    group: usize,
+    width: u32,
+    holds: bool,
+    state: LegState,
+    /// An exchange has answered it, and its proxy was told.
+    answered: bool,
+    until: Us,
+    /// The request of a call in transit at the far end.
+    child: Option<AskIx>,
+}
+
+/// A signalling proxy as the world sees it.
+#[derive(Debug, Default)]
+struct Seat {
+    up: bool,
+    generation: u32,
+    inbox: Vec<Input>,
+    open: BTreeSet<AskIx>,
+    /// Its roster has stopped until then; what it should have been told by now.
+    deaf_until: Us,
+    missed: Vec<usize>,
+}
+
+/// Figures of a processor as they will be known.
+#[derive(Clone, Copy, Debug)]
+struct Figures {
+    known: Us,
+    wait: Secs,
+    hold_back: f64,
+}
+
+struct World<'a> {
+    day: &'a Day,
+    callers: &'a [Caller],
+    seats: &'a mut dyn Seats,
+    salt: u64,
+    now: Us,
+    queue: Queue<Ev>,
+    /// Events in the queue that come again for ever.
+    periodic: usize,
+    proxies: Vec<Seat>,
+    processors: Vec<Processor>,
+    retired: Vec<Processor>,
+    groups: Vec<Group>,
+    /// Group between two exchanges, by `a * n + b`.
+    group_of: Vec<usize>,
+    dirty: BTreeSet<usize>,
+    figures: Vec<VecDeque<Figures>>,
+    report_rngs: Vec<Pcg64>,
+    work_rngs: Vec<Pcg64>,
+    looks: VecDeque<(Us, Vec<u32>)>,
+    /// When the last message on each way between exchanges arrives: they keep their order.
+    arrivals: Vec<Us>,
+    asks: Vec<Ask>,
+    legs: Vec<Leg>,
+    active: BTreeSet<LegIx>,
+    exchange_of: BTreeMap<OfficeId, usize>,
+    /// Offices that were taken out of service or died.
+    gone: BTreeSet<OfficeId>,
+    news: Vec<(Us, Office)>,
+    next_tick: Option<Us>,
+    last_tick: Option<Us>,
+    fates: Vec<Fate>,
+    /// From when each caller's patience counts.
+    since: Vec<Us>,
+    watch: Watch,
+    waits: Waits,
+    ends: Ends,
+    samples: Vec<Sample>,
+    standing: u64,
+    standing_area: f64,
+    stood_time: f64,
+    last_standing: Us,
+    events: u64,
+}
+
+/// Runs a day to its end. `salt` changes the seeds of the proxies and nothing else.
+pub fn run(day: &Day, callers: &[Caller], seats: &mut dyn Seats, salt: u64) -> Result<DayResult, LabError> {
+    let mut world = World::new(day, callers, seats, salt);
+    world.open_day()?;
+    while let Some((at, event)) = world.queue.take() {
+        world.now = at;
+        world.events += 1;
+        world.happen(event)?;
+        if world.queue.len() == world.periodic {
+            break;
+        }
+    }
+    Ok(world.close_day())
+}
+
+impl<'a> World<'a> {
+    fn new(day: &'a Day, callers: &'a [Caller], seats: &'a mut dyn Seats, salt: u64) -> Self {
+        let n = day.n;
+        let mut group_of = vec![usize::MAX; n * n];
+        let groups: Vec<Group> = day.groups.iter().map(|(ends, size)| Group::new(*ends, *size)).collect();
+        for (ix, group) in groups.iter().enumerate() {
+            let [a, b] = group.ends;
+            group_of[a * n + b] = ix;
+            group_of[b * n + a] = ix;
+        }
+        let rngs = |purpose| (0..n).map(|x| stream(day.seed, purpose, x as u64)).collect();
+        World {
+            day,
+            callers,
+            seats,
+            salt,
+            now: 0,
+            queue: Queue::default(),
+            periodic: 0,
+            proxies: (0..n).map(|_| Seat::default()).collect(),
+            processors: Vec::new(),
+            retired: Vec::new(),
+            groups,
+            group_of,
+            dirty: BTreeSet::new(),
+            figures: vec![VecDeque::new(); n],
+            report_rngs: rngs(Purpose::Report),
+            work_rngs: rngs(Purpose::Work),
+            looks: VecDeque::new(),
+            arrivals: vec![0; n * n],
+            asks: Vec::new(),
+            legs: Vec::new(),
+            active: BTreeSet::new(),
+            exchange_of: BTreeMap::new(),
+            gone: BTreeSet::new(),
+            news: Vec::new(),
+            next_tick: None,
+            last_tick: None,
+            fates: vec![Fate::default(); callers.len()],
+            since: callers.iter().map(|c| c.at).collect(),
+            watch: Watch::default(),
+            waits: Waits::new(day.classes.len()),
+            ends: Ends::default(),
+            samples: Vec::new(),
+            standing: 0,
+            standing_area: 0.0,
+            stood_time: 0.0,
+            last_standing: 0,
+            events: 0,
+        }
+    }
+
+    fn open_day(&mut self) -> Result<(), LabError> {
+        for exchange in 0..self.day.n {
+            let office = self.new_office(exchange);
+            self.processors.push(Processor::new(office, self.day.works, None));
+            let entry = self.entry(exchange, office, Condition::On, None);
+            self.news.push((0, entry));
+            self.put_periodic(self.day.report_period, Ev::Figures(exchange));
+        }
+        for proxy in 0..self.day.n {
+            self.start_proxy(proxy)?;
+        }
+        if self.day.centre.is_some() {
+            self.put_periodic(0, Ev::Look);
+        }
+        self.put_periodic(0, Ev::Sample);
+        for (ix, caller) in self.callers.iter().enumerate() {
+            self.queue.put(caller.at, Ev::Try { caller: ix as u32, resent: false });
+        }
+        self.plan_troubles();
+        Ok(())
+    }
+
+    fn put_periodic(&mut self, at: Us, event: Ev) {
+        self.periodic += 1;
+        self.queue.put(at, event);
+    }
+
+    fn happen(&mut self, event: Ev) -> Result<(), LabError> {
+        match event {
+            Ev::Try { caller, resent } => self.try_call(caller, resent, false),
+            Ev::Again(caller) => {
+                self.since[caller as usize] = self.now;
+                self.try_call(caller, false, true);
+            }
+            Ev::Leave(ask) => self.leave(ask),
+            Ev::Overdue(ask) => self.overdue(ask),
+            Ev::Tick => self.tick()?,
+            Ev::Done { exchange, serial } => self.job_done(exchange, serial),
+            Ev::SetUpAt(leg) => self.set_up_at(leg),
+            Ev::AnswerAt(leg) => {
+                if self.legs[leg as usize].state == LegState::Flying {
+                    let near = self.legs[leg as usize].from;
+                    self.work(near, processor::Task::AnswerNear(leg));
+                }
+            }
+            Ev::EndAt(leg, outcome, why) => self.end_leg(leg, outcome, why),
+            Ev::CancelAt(ask) => self.cancel_at(ask),
+            Ev::Free(leg) => self.free(leg),
+            Ev::ReleaseAt(exchange) => self.work(exchange, processor::Task::Release),
+            Ev::HoldOver(ask) => self.hold_over(ask),
+            Ev::Figures(exchange) => self.take_figures(exchange),
+            Ev::Look => self.look(),
+            Ev::Sample => self.sample(),
+            Ev::News { proxy, news } => self.tell_news(proxy, news),
+            Ev::Trouble(step) => self.trouble(step)?,
+            Ev::Wake { proxy, generation, wake } => {
+                if self.proxies[proxy].generation == generation {
+                    self.deliver(proxy, Input::Woken(wake));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    // ---- Proxies ---------------------------------------------------------------------------------
+
+    fn start_proxy(&mut self, proxy: usize) -> Result<(), LabError> {
+        let generation = self.proxies[proxy].generation;
+        let index = (self.salt << 32) ^ (u64::from(generation) << 20) ^ proxy as u64;
+        let seed = rand::Rng::next_u64(&mut stream(self.day.seed, Purpose::Seat, index));
+        // Seeds on the wire are whole numbers that a double can hold.
+        self.seats.start(self.day, proxy, clock(self.now), seed >> 11)?;
+        self.proxies[proxy].up = true;
+        let mut listed: BTreeMap<OfficeId, Office> = BTreeMap::new();
+        for (known, office) in &self.news {
+            if *known <= self.now {
+                listed.insert(office.id, office.clone());
+            }
+        }
+        let offices: Vec<Office> = listed.into_values().filter(|o| o.condition != Condition::Off).collect();
+        for office in offices.iter().filter(|o| o.condition != Condition::On) {
+            self.watch.told(proxy, office.id, self.now);
+        }
+        self.deliver(proxy, Input::List { whole: true, offices });
+        for far in (0..self.day.n).filter(|x| *x != proxy) {
+            let input = self.status(proxy, far);
+            self.deliver(proxy, input);
+        }
+        Ok(())
+    }
+
+    /// Puts something into a proxy's inbox; it is handled at its next tick.
+    fn deliver(&mut self, proxy: usize, input: Input) {
+        if self.proxies[proxy].up {
+            self.proxies[proxy].inbox.push(input);
+            self.want_tick();
+        }
+    }
+
+    fn want_tick(&mut self) {
+        if self.next_tick.is_none() {
+            let tick = self.day.tick;
+            let mut at = self.now.div_ceil(tick) * tick;
+            if self.last_tick == Some(at) {
+                at += tick;
+            }
+            self.next_tick = Some(at);
+            self.queue.put(at, Ev::Tick);
+        }
+    }
+
+    fn tick(&mut self) -> Result<(), LabError> {
+        self.next_tick = None;
+        self.last_tick = Some(self.now);
+        for group in std::mem::take(&mut self.dirty) {
+            let [a, b] = self.groups[group].ends;
+            for (proxy, far) in [(a, b), (b, a)] {
+                let input = self.status(proxy, far);
+                if self.proxies[proxy].up {
+                    self.proxies[proxy].inbox.push(input);
+                }
+            }
+        }
+        let mut told: Told = Vec::new();
+        for (proxy, seat) in self.proxies.iter_mut().enumerate() {
+            if seat.up && !seat.inbox.is_empty() {
+                told.push((proxy, std::mem::take(&mut seat.inbox)));
+            }
+        }
+        for (_, inputs) in &told {
+            for input in inputs {
+                if let Input::Ended { id, outcome, why, .. } = input {
+                    self.attempt_ended(id, *outcome, *why);
+                }
+            }
+        }
+        let gone = gone_offices(&told);
+        let mut commands = Vec::new();
+        self.seats.tick(clock(self.now), told, &mut commands)?;
+        for (proxy, office) in gone {
+            self.close_connections(proxy, office);
+        }
+        for (proxy, command) in commands {
+            match command {
+                Command::Near(_, id, near) => self.near(proxy, &id, near),
+                Command::Far(office, id, far) => self.far(proxy, office, &id, far),
+                Command::Wake(at, wake) => {
+                    let generation = self.proxies[proxy].generation;
+                    let at = moment(at).max(self.now);
+                    self.queue.put(at, Ev::Wake { proxy, generation, wake });
+                }
+                Command::Log(text) => self.ends.log(text),
+            }
+        }
+        Ok(())
+    }
+
+    /// A proxy has heard that an exchange is gone: its connections to it are closed, with the set-ups open there.
+    fn close_connections(&mut self, proxy: usize, office: OfficeId) {
+        let open = |leg: &&LegIx| {
+            let leg = &self.legs[**leg as usize];
+            leg.from == proxy && leg.office == office && leg.state == LegState::Flying
+        };
+        for leg in self.active.iter().filter(open).copied().collect::<Vec<_>>() {
+            self.let_go(leg);
+        }
+    }
+
+    /// The end of an attempt is told to its proxy.
+    fn attempt_ended(&mut self, id: &CallId, outcome: Outcome, why: Why) {
+        let Some(ask) = ask_of(id).and_then(|ix| self.asks.get_mut(ix as usize)) else { return };
+        ask.out = None;
+        ask.why = why;
+        if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+            ask.blocked = self.now + self.day.release;
+        }
+    }
+
+    fn status(&self, proxy: usize, far: usize) -> Input {
+        let group = &self.groups[self.group_of[proxy * self.day.n + far]];
+        let report = Report {
+            free: Some(f64::from(group.free())),
+            size: Some(f64::from(group.working)),
+            ..Report::default()
+        };
+        Input::Status { office: self.processors[far].office, report }
+    }
+
+    // ---- Callers ---------------------------------------------------------------------------------
+
+    fn try_call(&mut self, caller: u32, resent: bool, came_back: bool) {
+        let c = &self.callers[caller as usize];
+        let class = &self.day.classes[c.class];
+        let ends = self.since[caller as usize] + day::us(class.give_up_s);
+        let ttl = day::us(class.give_up_s * self.day.callers.try_share).min(ends.saturating_sub(self.now));
+        self.fates[caller as usize].tries += 1;
+        self.ends.tries += 1;
+        if ttl <= self.day.tick || !self.proxies[c.origin].up {
+            return self.try_ended(caller, None);
+        }
+        self.work(c.origin, processor::Task::Look);
+        let hop = self.advice(c.origin, c.dest);
+        let ask = self.new_ask(caller, c.origin, None);
+        let until = self.now + ttl;
+        self.queue.put(until + self.day.slack, Ev::Overdue(ask));
+        if let (Some(part), false) = (c.leaves, resent) {
+            self.queue.put(self.now + (ttl as f64 * part) as Us, Ev::Leave(ask));
+        }
+        let request = self.request(ask, ttl, hop, resent, came_back);
+        self.deliver(c.origin, Input::Request(request));
+    }
+
+    fn new_ask(&mut self, caller: u32, at: usize, from: Option<LegIx>) -> AskIx {
+        let ix = self.asks.len() as AskIx;
+        self.asks.push(Ask {
+            caller,
+            at,
+            generation: self.proxies[at].generation,
+            from,
+            state: AskState::Open,
+            out: None,
+            leg: None,
+            attempts: 0,
+            blocked: 0,
+            why: Why::Unsaid,
+        });
+        self.proxies[at].open.insert(ix);
+        ix
+    }
+
+    fn request(&self, ask: AskIx, ttl: Us, hop: Option<usize>, resent: bool, came_back: bool) -> Request {
+        let c = &self.callers[self.asks[ask as usize].caller as usize];
+        Request {
+            id: id_of(ask),
+            front: Front::Platform,
+            class: self.day.classes[c.class].name.clone(),
+            tenant: Some(self.day.tenants[c.tenant].name.clone()),
+            ttl: ttl as f64 / SECOND as f64,
+            transit: self.asks[ask as usize].from.is_some(),
+            hop: hop.map(|x| ExchangeNo(x as i64)),
+            came_back,
+            resent: resent && self.day.callers.marked,
+            width: c.width,
+            dest: ExchangeNo(c.dest as i64),
+            number: format!("{}-{}", c.dest, c.number),
+            description: Arc::from(&b"caller"[..]),
+        }
+    }
+
+    /// A try ended without standing: the caller dials again, or gives up.
+    fn try_ended(&mut self, caller: u32, cool_down: Option<Secs>) {
+        let c = &self.callers[caller as usize];
+        let fate = &mut self.fates[caller as usize];
+        fate.ended = self.now;
+        if fate.tries > c.redials {
+            return;
+        }
+        let habits = &self.day.callers;
+        let doubled = match habits.backoff {
+            crate::scenario::Backoff::Fixed => 1.0,
+            crate::scenario::Backoff::Doubling => f64::from(1u32 << (fate.tries - 1).min(16)),
+        };
+        let asked = cool_down.filter(|_| c.heeds).unwrap_or(0.0).min(self.day.cool_down);
+        let wait = (habits.wait_s * c.pace * doubled).max(asked);
+        let at = self.now + day::us(wait);
+        let ends = self.since[caller as usize] + day::us(self.day.classes[c.class].give_up_s);
+        if at < ends {
+            self.queue.put(at, Ev::Try { caller, resent: true });
+        }
+    }
+
+    /// An impatient caller leaves before its time.
+    fn leave(&mut self, ask: AskIx) {
+        let a = &mut self.asks[ask as usize];
+        if a.state != AskState::Open {
+            return;
+        }
+        a.state = AskState::Left;
+        let (at, caller) = (a.at, a.caller);
+        self.proxies[at].open.remove(&ask);
+        self.fates[caller as usize].ended = self.now;
+        self.ends.left += 1;
+        self.deliver(at, Input::GaveUp(id_of(ask)));
+    }
+
+    /// The time of a request is over: if it had no final answer by now, a rule is broken.
+    fn overdue(&mut self, ask: AskIx) {
+        let a = &mut self.asks[ask as usize];
+        if a.state != AskState::Open {
+            return;
+        }
+        a.state = AskState::Left;
+        let (at, caller, root) = (a.at, a.caller, a.from.is_none());
+        self.proxies[at].open.remove(&ask);
+        self.watch.broke(
+            Rule::FinalAnswer,
+            self.now,
+            Some(at),
+            Some(id_of(ask).0),
+            "no final answer in time",
+        );
+        self.deliver(at, Input::GaveUp(id_of(ask)));
+        if root {
+            self.try_ended(caller, None);
+        }
+    }
+
+    /// The exchange that the centre advises as a tandem.
+    fn advice(&self, origin: usize, dest: usize) -> Option<usize> {
+        let (_, free) = self.looks.iter().rev().find(|(known, _)| *known <= self.now)?;
+        let n = self.day.n;
+        let room = |x: usize| free[self.group_of[origin * n + x]].min(free[self.group_of[x * n + dest]]);
+        let others = (0..n).filter(|x| *x != origin && *x != dest);
+        others.max_by_key(|x| (room(*x), std::cmp::Reverse(*x))).filter(|x| room(*x) > 0)
+    }
+
+    fn look(&mut self) {
+        let Some((every, late)) = self.day.centre else { return };
+        let free = self.groups.iter().map(Group::free).collect();
+        self.looks.push_back((self.now + late, free));
+        let stale = self.looks.iter().rposition(|(known, _)| *known <= self.now).unwrap_or(0);
+        self.looks.drain(..stale);
+        self.queue.put(self.now + every, Ev::Look);
+    }
+
+    // ---- Flight ----------------------------------------------------------------------------------
+
+    /// When a message sent now arrives. Those of one way keep their order.
+    fn arrival(&mut self, from: usize, to: usize) -> Us {
+        let way = from * self.day.n + to;
+        let spread = 2.0 * noise(self.day.seed, way as u64, self.now) - 1.0;
+        let took = self.day.flight[way] * (1.0 + self.day.jitter * spread);
+        let at = (self.now + took.max(0.0) as Us).max(self.arrivals[way]);
+        self.arrivals[way] = at;
+        at
+    }
+}
+
+/// The exchanges that proxies are told to be gone.
+fn gone_offices(told: &Told) -> Vec<(usize, OfficeId)> {
+    let mut gone = Vec::new();
+    for (proxy, inputs) in told {
+        for input in inputs {
+            if let Input::List { offices, .. } = input {
+                let off = offices.iter().filter(|o| o.condition == Condition::Off);
+                gone.extend(off.map(|o| (*proxy, o.id)));
+            }
+        }
+    }
+    gone
+}
+
+/// The id of a request.
+fn id_of(ask: AskIx) -> CallId {
+    CallId(format!("{ask:016x}"))
+}
+
+/// The request of an id.
+fn ask_of(id: &CallId) -> Option<AskIx> {
+    AskIx::from_str_radix(&id.0, 16).ok()
+}
--- a/src/calls/table.rs
+++ b/src/calls/table.rs
@@ -55,7 +55,12 @@
 impl Table {
     /// A table without calls.
     pub fn new(settings: Settings, tenants: Tenants, seed: u64, now: Time) -> Self {
-        let mut controller = Controller::new(settings.clone(), seed);
+        Self::tuned(settings, Tuning::default(), tenants, seed, now)
+    }
+
+    /// The same with other tuned values for the module.
+    pub fn tuned(settings: Settings, tuning: Tuning, tenants: Tenants, seed: u64, now: Time) -> Self {
+        let mut controller = Controller::tuned(settings.clone(), tuning, seed);
         // Lists and states come unasked on real wires: what the module asks for at its start is under way.
         controller.start(now, &mut Vec::new());
         Table {
@@ -108,6 +113,11 @@
         !self.offices.is_empty() && on.all(|id| self.own_offices.contains(id) || self.heard.contains(id))
     }
 
+    /// The level of overload that the module sees at the own processor, and the highest at a far one.
+    pub fn levels(&self) -> (usize, usize) {
+        self.controller.levels()
+    }
+
     /// Takes one input and appends what is to be done, in order.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Command>) {
         match input {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,6 +2,8 @@
 
 use std::ops::{Add, Sub};
 
+use serde::{Deserialize, Serialize};
+
 /// A span of time in seconds.
 pub type Secs = f64;
 
@@ -423,3 +425,58 @@
     /// A line for the log.
     Log(String),
 }
+
+/// Thresholds, pauses and weights of [`crate::Controller`], all relative to the settings; their values are in `src/logic.rs`, and scenarios of the
+/// lab may name others. An aim is the shortest `target` of the classes.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[cfg_attr(feature = "schema", derive(schemars::JsonSchema))]
+#[serde(default, deny_unknown_fields)]
+pub struct Tuning {
+    /// Onset of level 1 in set-ups waiting, as the paper counts depth (3.3); each further level doubles.
+    pub depth: f64,
+    /// The same onset in aims: at least ...
+    pub onset_min: f64,
+    /// ... and at most.
+    pub onset_max: f64,
+    /// A level is left below this share of its onset. Over a half, so abate1 < onset1 < abate2 < ...
+    pub abate: f64,
+    /// Share of normal first set-ups refused at levels 0 to 4; urgent ones are refused at level 4 only.
+    pub refused: [f64; 5],
+    /// Aims without news after which the own level drops a step: it has news of every call.
+    pub quiet_aims: f64,
+    /// The same for a far level, which in a large fleet has news only every few seconds.
+    pub far_quiet_aims: f64,
+    /// Share of our unanswered set-ups that is taken to wait at the own processor.
+    pub own_part: f64,
+    /// Where probes are allowed the own processor is asked once in this many aims at most.
+    pub probe_aims: f64,
+    /// A failed probe counts as this many onsets of wait: the processor had no time for the least of work.
+    pub probe_failed: f64,
+    /// Samples and reports count for this many aims.
+    pub fresh_aims: f64,
+    /// The traffic here is a mean over this many seconds.
+    pub traffic_span: Secs,
+    /// A number whose lines stay busy is gapped for this many aims at most.
+    pub gap_aims: f64,
+    /// A refused caller is asked to stay away for this many aims: long enough for a level to drop, and a first
+    /// redial is still in time.
+    pub cool_down_aims: f64,
+    /// After a full processor sends to it pause for these seconds; the answer is older than its relief.
+    pub full_pause: Secs,
+    /// The same after any set-up that an exchange turned away.
+    pub refused_pause: Secs,
+    /// Lowest weight of a tandem: most have no way on, and the more there are the less is known of each.
+    pub floor: f64,
+    /// Share of the gap to 1 that a tandem's weight wins on success.
+    pub raise: f64,
+    /// Factor of a tandem's weight on turn-back.
+    pub lower: f64,
+    /// Factor of the advised tandem's weight, for each other one.
+    pub advised: f64,
+    /// Circuits kept back from transit and alternative calls, times the square root of the group.
+    pub reserve: f64,
+    /// The part of a group that they are at most: thin groups have none to spare.
+    pub most_reserved: f64,
+    /// Most routes tried for one call.
+    pub most_tries: u32,
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,4 +41,5 @@
 pub mod sip;
 pub mod wire;
 
+pub use interface::Tuning;
 pub use logic::Controller;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,55 +5,44 @@
 
 use crate::interface::*;
 
-// ---- Tuned values, all relative to the settings ------------------------------------------------
-
-/// Onset of level 1 in set-ups waiting, as the paper counts depth; each further level doubles.
-const DEPTH: f64 = 6.0;
-/// The same onset, as a share of the shortest aim: at least and at most.
-const ONSET_MIN: f64 = 0.1;
-const ONSET_MAX: f64 = 0.3;
-/// A level is left below this share of its onset. Over a half, so abate1 < onset1 < abate2 < ...
-const ABATE: f64 = 0.6;
-/// Share of normal first set-ups refused at levels 0 to 4; urgent ones are refused at level 4 only.
-const REFUSED: [f64; 5] = [0.0, 0.2, 0.8, 1.0, 1.0];
-/// Without news for this many aims a level drops a step: the own one has news of every call, a far one in a
-/// large fleet only every few seconds.
-const QUIET_AIMS: f64 = 1.0;
-const FAR_QUIET_AIMS: f64 = 4.0;
+// ---- Tuned values, as Tuning describes them, and fixed ones --------------------------------------
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Tuning {
+            depth: 6.0,
+            onset_min: 0.1,
+            onset_max: 0.3,
+            abate: 0.6,
+            refused: [0.0, 0.2, 0.8, 1.0, 1.0],
+            quiet_aims: 1.0,
+            far_quiet_aims: 4.0,
+            own_part: 0.5,
+            probe_aims: 0.5,
+            probe_failed: 2.0,
+            fresh_aims: 3.0,
+            traffic_span: 10.0,
+            gap_aims: 16.0,
+            cool_down_aims: 0.3,
+            full_pause: 0.2,
+            refused_pause: 0.0,
+            floor: 0.05,
+            raise: 0.2,
+            lower: 0.5,
+            advised: 3.0,
+            reserve: 0.5,
+            most_reserved: 0.1,
+            most_tries: 3,
+        }
+    }
+}
+
 /// Slowest set-up rate taken at its word, against divisions by nothing.
 const MIN_RATE: f64 = 1e-3;
-/// Share of our unanswered set-ups that is taken to wait at the own processor.
-const OWN_PART: f64 = 0.5;
 /// How many ends of set-ups in a row tell of the own processor: that many far ends are rarely slow at once.
 const ENDS: usize = 6;
-/// Where probes are allowed the own processor is asked once in this many aims at most.
-const PROBE_AIMS: f64 = 0.5;
-/// A failed probe counts as this many onsets of wait: the processor had no time for the least of work.
-const PROBE_FAILED: f64 = 2.0;
-/// Samples and reports count for this many aims; the traffic here is a mean over this many seconds.
-const FRESH_AIMS: f64 = 3.0;
-const TRAFFIC_SPAN: Secs = 10.0;
 /// First tries bring the same time to live to within one slot of this length.
 const TTL_SLOT: Secs = 0.05;
-/// A number whose lines stay busy is gapped for this many aims at most.
-const GAP_AIMS: f64 = 16.0;
-/// A refused caller is asked to stay away for this many aims: long enough for a level to drop, and a first
-/// redial is still in time.
-const COOL_DOWN_AIMS: f64 = 0.3;
-/// After a full processor sends to it pause this long; the answer is older than its relief.
-const FULL_PAUSE: Secs = 0.2;
-/// Tandem weights: floor, share of the gap to 1 won on success, factor on turn-back, of the advised, for each
-/// other one: most tandems have no way on, and the more there are the less is known of each.
-const FLOOR: f64 = 0.05;
-const RAISE: f64 = 0.2;
-const LOWER: f64 = 0.5;
-const ADVISED: f64 = 3.0;
-/// Circuits kept back from transit and alternative calls, times the square root of the group, and the part of
-/// a group that they are at most: the thin groups of a large fleet have none to spare.
-const RESERVE: f64 = 0.5;
-const MOST_RESERVED: f64 = 0.1;
-/// Most routes tried for one call.
-const MOST_TRIES: u32 = 3;
 
 // ---- Overload level ----------------------------------------------------------------------------
 
@@ -75,12 +64,12 @@
 }
 
 impl Overload {
-    fn observe(&mut self, wait: Secs, onset: Secs, now: Time) {
+    fn observe(&mut self, wait: Secs, onset: Secs, abate: f64, now: Time) {
         let onset_of = |level: usize| onset * (1 << level) as f64;
         while self.level < 4 && wait >= onset_of(self.level) {
             self.level += 1;
         }
-        while self.level > 0 && wait < ABATE * onset_of(self.level - 1) {
+        while self.level > 0 && wait < abate * onset_of(self.level - 1) {
             self.level -= 1;
         }
         self.news_at = now;
@@ -100,14 +89,15 @@
     }
 
     /// Refusals are spread evenly: each normal call adds its share to a debt that one refusal pays.
-    fn refuses(&mut self, rank: Rank) -> bool {
+    fn refuses(&mut self, rank: Rank, shares: &[f64; 5]) -> bool {
+        let share = shares[self.level];
         match (rank, self.level) {
-            (_, 4) => return true,
+            (_, 4) if share > 0.0 => return true,
             (Rank::Urgent, _) => return false,
-            (Rank::Redial, 1..) => return true,
+            (Rank::Redial, 1..) if share > 0.0 => return true,
             _ => {}
         }
-        self.debt += REFUSED[self.level];
+        self.debt += share;
         let refuse = self.debt >= 1.0 - 1e-9;
         if refuse {
             self.debt -= 1.0;
@@ -240,6 +230,7 @@
 #[derive(Debug)]
 pub struct Controller {
     settings: Settings,
+    tuning: Tuning,
     rng: fastrand::Rng,
     aim: Secs,
     fars: BTreeMap<OfficeId, Far>,
@@ -274,6 +265,11 @@
 impl Controller {
     /// A controller that knows nothing but its settings.
     pub fn new(settings: Settings, seed: u64) -> Self {
+        Self::tuned(settings, Tuning::default(), seed)
+    }
+
+    /// The same with other tuned values.
+    pub fn tuned(settings: Settings, tuning: Tuning, seed: u64) -> Self {
         let aims = settings.classes.iter().map(|c| c.aim).filter(|a| *a > 0.0);
         let aim = aims.fold(f64::INFINITY, f64::min);
         Controller {
@@ -298,6 +294,7 @@
             watch: Time::default(),
             probed_at: Time(f64::NEG_INFINITY),
             settings,
+            tuning,
         }
     }
 
@@ -313,7 +310,7 @@
     /// Takes one event and appends what is to be done, in order.
     pub fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         // After a stall of this call server much comes at once: its age is not the processors' wait.
-        self.watch = self.watch + (now - self.last_event).clamp(0.0, ONSET_MAX * self.aim);
+        self.watch = self.watch + (now - self.last_event).clamp(0.0, self.tuning.onset_max * self.aim);
         self.last_event = now;
         match event {
             Event::List { kind, offices } => self.on_list(now, kind, offices, out),
@@ -327,6 +324,12 @@
         }
     }
 
+    /// The level of the own processor, and the highest of a far one in service.
+    pub fn levels(&self) -> (usize, usize) {
+        let fars = self.serving.values().filter_map(|id| self.fars.get(id));
+        (self.own.level, fars.map(|far| far.overload.level).max().unwrap_or(0))
+    }
+
     // ---- Guards: the list, drains, cold starts, release ----------------------------------------
 
     fn on_list(&mut self, now: Time, kind: ListKind, offices: Vec<Office>, out: &mut Vec<Action>) {
@@ -390,13 +393,15 @@
     /// best report, the traffic here, the quickest set-up, and a set-up in the longest onset 1.
     fn cold_share(&self, far: &Far) -> f64 {
         let s = &self.settings;
-        let least = 1.0 / (ONSET_MAX * self.aim);
+        let least = 1.0 / (self.tuning.onset_max * self.aim);
         let seen = 2.0 / self.quickest.max(MIN_RATE);
         let capacity = far.best_rate.max(2.0 * self.offered).max(seen).max(least);
         let all = s.fall_multiple * s.cold_from * capacity * s.fall;
         // A processor's own call server gives it about half of its work, the others share the rest.
         let others = f64::from(s.instances.saturating_sub(1).max(1));
-        (all * if Some(far.office.number) == s.own { OWN_PART } else { (1.0 - OWN_PART) / others }).max(0.0)
+        let own = self.tuning.own_part;
+        let part = if Some(far.office.number) == s.own { own } else { (1.0 - own) / others };
+        (all * part).max(0.0)
     }
 
     /// What is left of that share. It fills over time and starts at a random part of one set-up, so that of a
@@ -449,12 +454,12 @@
     }
 
     fn onset(&self, now: Time) -> Secs {
-        let (least, most) = (ONSET_MIN * self.aim, ONSET_MAX * self.aim);
-        self.speed(now).map_or(most, |speed| (DEPTH / speed).clamp(least, most))
+        let (least, most) = (self.tuning.onset_min * self.aim, self.tuning.onset_max * self.aim);
+        self.speed(now).map_or(most, |speed| (self.tuning.depth / speed).clamp(least, most))
     }
 
     fn fresh(&self) -> Secs {
-        FRESH_AIMS * self.aim
+        self.tuning.fresh_aims * self.aim
     }
 
     /// The wait at the own processor, which every set-up of ours passes: the quickest of the last few ends of
@@ -495,13 +500,13 @@
         let set_up = self.speed(now).map_or(0.0, |speed| 1.0 / speed);
         let heard = self.fars.values().filter(|f| f.silent_since.is_none());
         let out: usize = heard.map(|f| f.waiting().count()).sum();
-        let queue = OWN_PART * out as f64 * set_up;
+        let queue = self.tuning.own_part * out as f64 * set_up;
         // Ends of set-ups known before say nothing new: while all is refused no others come.
         let news = std::mem::take(&mut self.own_news) || out > 0;
         match own_wait {
-            Some(wait) if news => self.own.observe(wait.max(queue), onset, now),
-            _ if queue >= onset => self.own.observe(queue, onset, now),
-            _ => self.own.decay(QUIET_AIMS * self.aim, now),
+            Some(wait) if news => self.own.observe(wait.max(queue), onset, self.tuning.abate, now),
+            _ if queue >= onset => self.own.observe(queue, onset, self.tuning.abate, now),
+            _ => self.own.decay(self.tuning.quiet_aims * self.aim, now),
         }
         own_wait.unwrap_or(0.0)
     }
@@ -516,8 +521,10 @@
         let wait = far.fresh_report(now, fresh).or(ours).map(|w| w.max(silence));
         let news = std::mem::take(&mut far.news);
         match wait {
-            Some(wait) if news || wait >= onset && silence >= wait => far.overload.observe(wait, onset, now),
-            _ => far.overload.decay(FAR_QUIET_AIMS * aim, now),
+            Some(wait) if news || wait >= onset && silence >= wait => {
+                far.overload.observe(wait, onset, self.tuning.abate, now);
+            }
+            _ => far.overload.decay(self.tuning.far_quiet_aims * aim, now),
         }
     }
 
@@ -552,7 +559,7 @@
     fn on_arrival(&mut self, now: Time, mut arrival: Arrival, out: &mut Vec<Action>) {
         arrival.resent = self.looks_resent(&arrival) && !self.still_in_aim(&arrival, now);
         let gap = (now - self.last_arrival).max(1e-3);
-        let blend = 1.0 - (-gap / TRAFFIC_SPAN).exp();
+        let blend = 1.0 - (-gap / self.tuning.traffic_span).exp();
         self.offered += blend * (1.0 / gap - self.offered);
         self.last_arrival = now;
         let call = Call {
@@ -597,13 +604,13 @@
         let Some(dest) = self.office_of(arrival.dest) else { return false };
         let rank = self.rank(arrival);
         if let Some(own) = self.own_office() {
-            if self.settings.probing && now - self.probed_at >= PROBE_AIMS * self.aim {
+            if self.settings.probing && now - self.probed_at >= self.tuning.probe_aims * self.aim {
                 self.probed_at = now;
                 out.push(Action::Probe(own));
             }
         }
         self.refresh(dest, now);
-        if self.own.refuses(rank) {
+        if self.own.refuses(rank, &self.tuning.refused) {
             return false;
         }
         let Some(far) = self.fars.get(&dest) else { return false };
@@ -612,7 +619,9 @@
         }
         let trial = far.silent_since.is_some();
         let transit = arrival.transit || self.settings.form == Form::Skills;
-        trial || transit || !self.fars.get_mut(&dest).is_some_and(|f| f.overload.refuses(rank))
+        trial
+            || transit
+            || !self.fars.get_mut(&dest).is_some_and(|f| f.overload.refuses(rank, &self.tuning.refused))
     }
 
     fn on_status(&mut self, now: Time, office: OfficeId, ok: bool, report: &Report) {
@@ -622,7 +631,7 @@
         if ok {
             far.learn(report, now, onset);
         } else {
-            far.reported = Some((PROBE_FAILED * onset, now));
+            far.reported = Some((self.tuning.probe_failed * onset, now));
             far.news = true;
         }
     }
@@ -634,9 +643,9 @@
 
     // ---- Route choice --------------------------------------------------------------------------
 
-    fn reserve(far: &Far) -> f64 {
+    fn reserve(&self, far: &Far) -> f64 {
         let size = far.size.unwrap_or(0.0).max(0.0);
-        (RESERVE * size.sqrt()).ceil().min((MOST_RESERVED * size).floor())
+        (self.tuning.reserve * size.sqrt()).ceil().min((self.tuning.most_reserved * size).floor())
     }
 
     fn room(far: &Far, width: u32, kept: f64) -> bool {
@@ -649,7 +658,7 @@
         let dest = self.office_of(arrival.dest);
         if let Some(far) = dest.and_then(|d| self.fars.get(&d)) {
             // A marked redial mostly stands late: it must not take the last circuits from first tries.
-            let kept = if arrival.transit || arrival.resent { Self::reserve(far) } else { 0.0 };
+            let kept = if arrival.transit || arrival.resent { self.reserve(far) } else { 0.0 };
             let fits = Self::room(far, arrival.width, kept) && !self.barred(far, now);
             let again = call.tried.contains(&far.office.id) && call.may_have_run.is_none();
             if fits && !again && self.may_send(call, far, now) {
@@ -680,7 +689,7 @@
                 && allowed
                 && self.serving.get(&number) == Some(&far.office.id)
                 && !call.tried.contains(&far.office.id)
-                && Self::room(far, arrival.width, Self::reserve(far))
+                && Self::room(far, arrival.width, self.reserve(far))
                 && !self.barred(far, now)
                 && !self.is_cold(far, now)
                 && far.silent_since.is_none()
@@ -701,7 +710,7 @@
         }
         let others = weighted.len() as f64;
         if let Some((_, weight)) = advised.and_then(|ix: usize| weighted.get_mut(ix)) {
-            *weight *= ADVISED * others;
+            *weight *= self.tuning.advised * others;
         }
         let total: f64 = weighted.iter().map(|(_, w)| w).sum();
         let mut draw = self.rng.f64() * total;
@@ -717,8 +726,8 @@
         if number == dest {
             return;
         }
-        let weight = self.weights.entry((dest, number)).or_insert(1.0);
-        *weight = if good { *weight + RAISE * (1.0 - *weight) } else { (*weight * LOWER).max(FLOOR) };
+        let (t, weight) = (&self.tuning, self.weights.entry((dest, number)).or_insert(1.0));
+        *weight = if good { *weight + t.raise * (1.0 - *weight) } else { (*weight * t.lower).max(t.floor) };
     }
 
     // ---- Attempt life cycle --------------------------------------------------------------------
@@ -738,7 +747,7 @@
             let after = (call.not_before - now) + self.settings.tick.max(1e-3);
             return self.timer(after, Some(id.clone()), out);
         }
-        let most = self.settings.max_attempts.clamp(1, MOST_TRIES);
+        let most = self.settings.max_attempts.clamp(1, self.tuning.most_tries);
         if call.attempts >= most || now >= useful_until {
             return self.conclude(id, out);
         }
@@ -826,6 +835,9 @@
             call.may_have_run = Some((answer.office, sent));
         }
         let mut again = true;
+        if let (Outcome::Full, Some(far)) = (answer.outcome, self.fars.get_mut(&answer.office)) {
+            far.paused_until = Time(far.paused_until.0.max(now.0 + self.tuning.refused_pause));
+        }
         match (answer.outcome, answer.why) {
             (Outcome::TimedOut, _) => {
                 call.not_before = now + self.settings.release;
@@ -887,13 +899,13 @@
         let Some(far) = self.fars.get_mut(&office) else { return };
         far.overload.raise(now);
         far.silent_since = None;
-        far.paused_until = now + named.unwrap_or(0.0).max(FULL_PAUSE);
+        far.paused_until = now + named.unwrap_or(0.0).max(self.tuning.full_pause);
     }
 
     /// Redials multiply the load of a number whose lines are all busy: gap it, twice as long each time.
     fn gap(&mut self, now: Time, number: Option<String>) {
         let Some(number) = number else { return };
-        let most = GAP_AIMS * self.aim;
+        let most = self.tuning.gap_aims * self.aim;
         self.gaps.retain(|_, (until, _)| now - *until < most);
         let length = self.gaps.get(&number).map_or(self.aim, |(_, length)| (2.0 * length).min(most));
         self.gaps.insert(number, (now + length, length));
@@ -929,7 +941,7 @@
             // A call refused early may yet stand in its aim if the caller is back soon; a number whose lines
             // are all busy is better left alone.
             let gapped = self.gapped(&call.arrival, call.arrived);
-            let wait = if gapped { f64::INFINITY } else { COOL_DOWN_AIMS * self.aim };
+            let wait = if gapped { f64::INFINITY } else { self.tuning.cool_down_aims * self.aim };
             let cool_down = self.settings.cool_down.then_some(wait.min(self.settings.max_cool_down));
             Action::Refuse { id: id.clone(), cool_down }
         } else {
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -287,9 +287,7 @@
 }
 
 /// Reads the settings of an instance, as they stand under `facts`, naming the key at fault.
-pub(crate) fn read_settings(
-    facts: &Value,
-) -> Result<Settings, serde_path_to_error::Error<serde_json::Error>> {
+pub fn read_settings(facts: &Value) -> Result<Settings, serde_path_to_error::Error<serde_json::Error>> {
     serde_path_to_error::deserialize::<_, FactsW>(facts).map(settings)
 }
 
