--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -245,14 +245,14 @@
     let _ = writeln!(std::io::stdout(), "{}", text.trim_end());
 }
 
-fn findings(days: &[DayResult]) -> bool {
+fn findings(arm: &str, days: &[DayResult]) -> bool {
     for day in days {
         for leak in &day.leaks {
-            eprintln!("mallowring-lab: seed {}: the model leaks: {leak}", day.seed);
+            eprintln!("mallowring-lab: {arm}, seed {}: the model leaks: {leak}", day.seed);
         }
         if day.broken_rules > 0 {
             eprintln!(
-                "mallowring-lab: seed {}: {} broken rules, so the day counts 0; the first:",
+                "mallowring-lab: {arm}, seed {}: {} broken rules, so the day counts 0; the first:",
                 day.seed, day.broken_rules
             );
             for b in day.broken.iter().take(3) {
@@ -283,7 +283,7 @@
                     table::aside(&scenario, &played)
                 ));
             }
-            Ok(!findings(&played))
+            Ok(!findings(&candidate, &played))
         }
         Task::Compare { scenarios, candidate, baseline, days, traffic, keep: kept, json, csv } => {
             let mut arms = vec![Arm::named(&baseline)?];
@@ -299,7 +299,7 @@
                 let seeds = days.seeds();
                 let played = play(&scenario, &arms, &seeds, traffic.as_deref(), &bar(&scenario.name))?;
                 let result = compare::compare(&scenario, &seeds, &arms, &played);
-                played.iter().for_each(|days| fine &= !findings(days));
+                arms.iter().zip(&played).for_each(|(arm, days)| fine &= !findings(&arm.name, days));
                 let worse =
                     |c: &compare::Candidate| c.figures.first().is_some_and(|f| f.verdict == Verdict::Worse);
                 fine &= !result.candidates.iter().any(worse);
@@ -331,7 +331,7 @@
             let mut seats = Follow::new(arm.seats()?, calls);
             let result = run(&day, &generate(&day), &mut seats, arm.salt)?;
             say(&seats.lines.join("\n"));
-            Ok(!findings(&[result]))
+            Ok(!findings(&arm.name, &[result]))
         }
         Task::Sweep { scenario, set, candidate, days, json } => {
             let scenario = Scenario::read(&scenario)?;
--- a/crates/lab/src/scenario/mod.rs
+++ b/crates/lab/src/scenario/mod.rs
@@ -296,7 +296,7 @@
     pub wait_ms: Draw<Positive>,
     /// How it grows.
     pub backoff: Backoff,
-    /// Share of the callers that stay away as long as they are asked.
+    /// Share of the callers that come back just when they are asked to, in place of after their own wait.
     pub heed: Draw<Share>,
     /// Share of the callers that leave early, at an even moment of their time.
     pub impatient: Draw<Share>,
--- a/crates/lab/src/study/chart.rs
+++ b/crates/lab/src/study/chart.rs
@@ -25,26 +25,33 @@
     move |e| LabError::Chart { path: PathBuf::from(name), what: e.to_string() }
 }
 
-/// Service, classes and subscribers of all arms with their intervals.
+/// The candidates' differences from the baseline with their intervals: service, its parts, classes and subscribers.
 pub fn figures(c: &Comparison) -> Result<String, LabError> {
     let name = "figures.svg";
     let Some(first) = c.candidates.first() else { return Ok(String::new()) };
-    let names: Vec<String> = first.figures.iter().map(|f| f.name.clone()).collect();
-    let mut arms = vec![(c.baseline.clone(), first.figures.iter().map(|f| f.baseline).collect::<Vec<_>>())];
-    for candidate in &c.candidates {
-        arms.push((candidate.name.clone(), candidate.figures.iter().map(|f| f.candidate).collect()));
-    }
+    let short = |name: &str| name.trim_start_matches("class ").trim_start_matches("tenant ").to_owned();
+    let names: Vec<String> = first.figures.iter().map(|f| short(&f.name)).collect();
+    let arms: Vec<(String, Vec<_>)> = c
+        .candidates
+        .iter()
+        .map(|a| (a.name.clone(), a.figures.iter().map(|f| f.difference).collect()))
+        .collect();
     let all = arms.iter().flat_map(|(_, xs)| xs).map(|i| i.ends().unwrap_or((i.mean, i.mean)));
     let ends: Vec<f64> = all.flat_map(|(a, b)| [a, b]).collect();
-    let low = (ends.iter().copied().fold(1.0, f64::min) - 0.02).max(0.0);
-    let high = (ends.iter().copied().fold(0.0, f64::max) + 0.02).min(1.05);
+    let low = ends.iter().copied().fold(0.0, f64::min) - 0.01;
+    let high = ends.iter().copied().fold(0.0, f64::max) + 0.01;
     let mut svg = String::new();
     {
         let root = SVGBackend::with_string(&mut svg, SIZE).into_drawing_area();
         root.fill(&WHITE).map_err(fault(name))?;
         let mut chart = ChartBuilder::on(&root)
             .caption(
-                format!("{}: service with 95% intervals over {} days", c.scenario, c.seeds.len()),
+                format!(
+                    "{}: difference from {}, paired by day, with 95% intervals over {} days",
+                    c.scenario,
+                    c.baseline,
+                    c.seeds.len()
+                ),
                 ("sans-serif", 18),
             )
             .margin(10)
@@ -64,24 +71,27 @@
             .x_label_style(("sans-serif", 11))
             .draw()
             .map_err(fault(name))?;
+        chart
+            .draw_series(LineSeries::new([(-0.5, 0.0), (names.len() as f64 - 0.5, 0.0)], colour(0)))
+            .map_err(fault(name))?;
         let step = 0.6 / arms.len() as f64;
         for (ix, (arm, intervals)) in arms.iter().enumerate() {
             let shift = (ix as f64 - (arms.len() as f64 - 1.0) / 2.0) * step;
             let bars = intervals.iter().enumerate().map(|(x, i)| {
                 let (low, high) = i.ends().unwrap_or((i.mean, i.mean));
-                ErrorBar::new_vertical(x as f64 + shift, low, i.mean, high, colour(ix).filled(), 6)
+                ErrorBar::new_vertical(x as f64 + shift, low, i.mean, high, colour(ix + 1).filled(), 6)
             });
             chart
                 .draw_series(bars)
                 .map_err(fault(name))?
                 .label(arm.clone())
-                .legend(move |(x, y)| Circle::new((x + 8, y), 4, colour(ix).filled()));
+                .legend(move |(x, y)| Circle::new((x + 8, y), 4, colour(ix + 1).filled()));
         }
         chart
             .configure_series_labels()
             .background_style(WHITE.mix(0.8))
             .border_style(BLACK.mix(0.3))
-            .position(SeriesLabelPosition::LowerRight)
+            .position(SeriesLabelPosition::LowerLeft)
             .draw()
             .map_err(fault(name))?;
         root.present().map_err(fault(name))?;
@@ -138,6 +148,7 @@
             .configure_series_labels()
             .background_style(WHITE.mix(0.8))
             .border_style(BLACK.mix(0.3))
+            .position(SeriesLabelPosition::LowerLeft)
             .draw()
             .map_err(fault(name))?;
         root.present().map_err(fault(name))?;
--- a/crates/lab/src/traffic/mod.rs
+++ b/crates/lab/src/traffic/mod.rs
@@ -33,7 +33,7 @@
     pub over_share: bool,
     /// Further tries it makes at most.
     pub redials: u32,
-    /// It stays away as long as it is asked.
+    /// It comes back when it is asked to.
     pub heeds: bool,
     /// It leaves after this share of its first try.
     pub leaves: Option<f64>,
--- a/crates/lab/src/world/mod.rs
+++ b/crates/lab/src/world/mod.rs
@@ -556,8 +556,9 @@
             crate::scenario::Backoff::Fixed => 1.0,
             crate::scenario::Backoff::Doubling => f64::from(1u32 << (fate.tries - 1).min(16)),
         };
-        let asked = cool_down.filter(|_| c.heeds).unwrap_or(0.0).min(self.day.cool_down);
-        let wait = (habits.wait_s * c.pace * doubled).max(asked);
+        // Who heeds comes back when it was asked to, be that later or sooner than it would have.
+        let asked = cool_down.filter(|_| c.heeds).map(|s| s.min(self.day.cool_down));
+        let wait = asked.unwrap_or(habits.wait_s * c.pace * doubled);
         let at = self.now + day::us(wait);
         let ends = self.since[caller as usize] + day::us(self.day.classes[c.class].give_up_s);
         if at < ends {
