--- a/crates/lab/benches/size.rs
+++ b/crates/lab/benches/size.rs
@@ -5,10 +5,10 @@
 use divan::counter::ItemsCount;
 use divan::Bencher;
 use mallowring::Tuning;
+use mallowring_lab::day::Day;
 use mallowring_lab::proxy::Shipped;
 use mallowring_lab::scenario::Scenario;
 use mallowring_lab::traffic::generate;
-use mallowring_lab::world::day::Day;
 use mallowring_lab::world::run;
 
 fn main() {
--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -11,13 +11,13 @@
 use mallowring::interface::CallId;
 use mallowring::Tuning;
 
+use crate::day::Day;
 use crate::proxy::{Follow, Shipped, Twin, Wire};
 use crate::scenario::Scenario;
 use crate::study::stats::Verdict;
 use crate::study::sweep::{self, Axis};
 use crate::study::{compare, keep, play, table, verify, Arm};
 use crate::traffic::{generate, recorded};
-use crate::world::day::Day;
 use crate::world::{run, DayResult};
 use crate::LabError;
 
--- a/crates/lab/src/world/day.rs
+++ b/crates/lab/src/day.rs
@@ -4,10 +4,15 @@
 use rand_pcg::Pcg64;
 use serde_json::{json, Value};
 
-use super::{Us, SECOND};
-use crate::random::{below, stream, Purpose};
+use crate::random::{below, lognormal, stream, Purpose};
 use crate::scenario::{Backoff, Scenario, Shape, Trouble, Who, WorkTime};
-use crate::traffic::lognormal;
+
+/// Simulated time, µs from the start of the day.
+pub type Us = u64;
+/// One second.
+pub const SECOND: Us = 1_000_000;
+/// Where the proxies' clocks stand at the start of the day, seconds.
+pub const EPOCH: f64 = 1000.0;
 
 /// Figures of a processor.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,6 +6,7 @@
 //! and every random draw comes from a stream named by its purpose ([`random`]).
 
 pub mod cli;
+pub mod day;
 pub mod error;
 pub mod proxy;
 pub mod random;
--- a/crates/lab/src/proxy/direct.rs
+++ b/crates/lab/src/proxy/direct.rs
@@ -7,7 +7,7 @@
 use mallowring::interface::*;
 
 use super::{Seats, Told};
-use crate::world::day::Day;
+use crate::day::Day;
 use crate::LabError;
 
 /// A fleet of them.
--- a/crates/lab/src/proxy/follow.rs
+++ b/crates/lab/src/proxy/follow.rs
@@ -4,8 +4,8 @@
 use mallowring::interface::{CallId, Time};
 
 use super::{Levels, Seats, Told};
-use crate::world::day::Day;
-use crate::world::EPOCH;
+use crate::day::Day;
+use crate::day::EPOCH;
 use crate::LabError;
 
 /// A fleet with an ear.
--- a/crates/lab/src/proxy/mod.rs
+++ b/crates/lab/src/proxy/mod.rs
@@ -7,58 +7,10 @@
 mod twin;
 mod wire;
 
-use mallowring::calls::{Command, Input};
-use mallowring::interface::Time;
-
 pub use direct::Direct;
 pub use follow::Follow;
 pub use shipped::Shipped;
 pub use twin::{Difference, Twin};
 pub use wire::Wire;
 
-use crate::world::day::Day;
-use crate::LabError;
-
-/// What the proxies of a fleet were told in one tick, by proxy.
-pub type Told = Vec<(usize, Vec<Input>)>;
-
-/// Levels of overload, 0 to 4, as one proxy sees them.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Levels {
-    /// Of its own processor.
-    pub own: usize,
-    /// Of far ones in service, by exchange.
-    pub far: Vec<(usize, usize)>,
-}
-
-impl Seats for Box<dyn Seats> {
-    fn start(&mut self, day: &Day, proxy: usize, now: Time, seed: u64) -> Result<(), LabError> {
-        self.as_mut().start(day, proxy, now, seed)
-    }
-    fn stop(&mut self, proxy: usize) -> Result<(), LabError> {
-        self.as_mut().stop(proxy)
-    }
-    fn tick(&mut self, now: Time, told: Told, out: &mut Vec<(usize, Command)>) -> Result<(), LabError> {
-        self.as_mut().tick(now, told, out)
-    }
-    fn levels(&self, proxy: usize) -> Option<Levels> {
-        self.as_ref().levels(proxy)
-    }
-}
-
-/// The signalling proxies of a fleet. They share nothing: each decides on its own inputs alone.
-pub trait Seats {
-    /// A proxy starts, knowing nothing.
-    fn start(&mut self, day: &Day, proxy: usize, now: Time, seed: u64) -> Result<(), LabError>;
-
-    /// A proxy ends, with all it knew.
-    fn stop(&mut self, proxy: usize) -> Result<(), LabError>;
-
-    /// Hands all that was told in one tick to the proxies and appends their commands in order.
-    fn tick(&mut self, now: Time, told: Told, out: &mut Vec<(usize, Command)>) -> Result<(), LabError>;
-
-    /// The levels of overload that a proxy sees, where it can be asked.
-    fn levels(&self, _proxy: usize) -> Option<Levels> {
-        None
-    }
-}
+pub use crate::world::seats::{Levels, Seats, Told};
--- a/crates/lab/src/proxy/shipped.rs
+++ b/crates/lab/src/proxy/shipped.rs
@@ -6,7 +6,7 @@
 use mallowring::Tuning;
 
 use super::{Levels, Seats, Told};
-use crate::world::day::Day;
+use crate::day::Day;
 use crate::LabError;
 
 /// A fleet of shipped proxies with one set of tuned values.
@@ -29,11 +29,8 @@
         if self.tables.len() <= proxy {
             self.tables.resize_with(proxy + 1, || None);
         }
-        let tenant = |t: &crate::world::day::TenantDay| Tenant {
-            name: t.name.clone(),
-            suspended: false,
-            max_calls: None,
-        };
+        let tenant =
+            |t: &crate::day::TenantDay| Tenant { name: t.name.clone(), suspended: false, max_calls: None };
         let tenants = Tenants::new(day.tenants.iter().map(tenant));
         let table = Table::tuned(day.settings(proxy), self.tuning.clone(), tenants, seed, now);
         self.tables[proxy] = Some(table);
--- a/crates/lab/src/proxy/twin.rs
+++ b/crates/lab/src/proxy/twin.rs
@@ -8,8 +8,8 @@
 use serde::Serialize;
 
 use super::{Levels, Seats, Told};
-use crate::world::day::Day;
-use crate::world::EPOCH;
+use crate::day::Day;
+use crate::day::EPOCH;
 use crate::LabError;
 
 /// A decision on a call.
--- a/crates/lab/src/proxy/wire.rs
+++ b/crates/lab/src/proxy/wire.rs
@@ -14,7 +14,7 @@
 use serde_json::{json, Map, Value};
 
 use super::{Seats, Told};
-use crate::world::day::Day;
+use crate::day::Day;
 use crate::LabError;
 
 /// Bytes of an answer that is no message at all, at most.
--- a/crates/lab/src/random.rs
+++ b/crates/lab/src/random.rs
@@ -2,6 +2,7 @@
 //! for another purpose: two arms of a comparison meet the same callers, delays and noise.
 
 use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, LogNormal};
 use rand_pcg::Pcg64;
 
 /// What a stream is for.
@@ -62,3 +63,10 @@
     }
     (z >> 11) as f64 / (1u64 << 53) as f64
 }
+
+/// A lognormal draw with this mean and coefficient of variation.
+pub fn lognormal(rng: &mut Pcg64, mean: f64, cv: f64) -> f64 {
+    let var = (1.0 + cv * cv).ln();
+    // A variance that is finite and not negative always makes a distribution.
+    LogNormal::new(mean.max(1e-12).ln() - var / 2.0, var.sqrt()).map_or(mean, |d| d.sample(rng))
+}
--- a/crates/lab/src/study/mod.rs
+++ b/crates/lab/src/study/mod.rs
@@ -17,9 +17,9 @@
 
 pub use arm::Arm;
 
+use crate::day::Day;
 use crate::scenario::Scenario;
 use crate::traffic::{generate, recorded};
-use crate::world::day::Day;
 use crate::world::{run, DayResult};
 use crate::LabError;
 
--- a/crates/lab/src/study/paper.rs
+++ b/crates/lab/src/study/paper.rs
@@ -5,11 +5,11 @@
 use rand_distr::{Distribution, Exp1};
 use serde::Serialize;
 
+use crate::day::Works;
+use crate::day::{Us, SECOND};
 use crate::random::{stream, Purpose};
 use crate::scenario::WorkTime;
-use crate::world::day::Works;
 use crate::world::processor::{Processor, Task};
-use crate::world::{Us, SECOND};
 
 /// Share that is turned away at levels 0 to 4 (section 3.2; urgent calls are left out here).
 const REFUSED: [f64; 5] = [0.0, 0.2, 0.8, 1.0, 1.0];
--- a/crates/lab/src/study/verify.rs
+++ b/crates/lab/src/study/verify.rs
@@ -10,10 +10,10 @@
 use super::paper::{walk, Steady, Walk};
 use super::stats::{t_interval, Interval};
 use super::table;
+use crate::day::Day;
 use crate::proxy::{Direct, Seats, Shipped, Told};
 use crate::scenario::Scenario;
 use crate::traffic::generate;
-use crate::world::day::Day;
 use crate::world::{run, DayResult};
 use crate::LabError;
 
--- a/crates/lab/src/traffic/mod.rs
+++ b/crates/lab/src/traffic/mod.rs
@@ -3,12 +3,11 @@
 
 pub mod recorded;
 
-use rand_distr::{Distribution, Exp1, LogNormal};
+use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg64;
 
-use crate::random::{below, noise, stream, unit, Purpose};
-use crate::world::day::{us, Day, TroubleDay};
-use crate::world::{Us, SECOND};
+use crate::day::{us, Day, TroubleDay, Us, SECOND};
+use crate::random::{below, lognormal, noise, stream, unit, Purpose};
 
 /// A caller who wants one call.
 #[derive(Clone, Debug, PartialEq)]
@@ -48,13 +47,6 @@
 /// A tenant's share is counted with a bucket of so many seconds of it.
 const SHARE_SPAN: f64 = 2.0;
 
-/// A lognormal draw with this mean and coefficient of variation.
-pub fn lognormal(rng: &mut Pcg64, mean: f64, cv: f64) -> f64 {
-    let var = (1.0 + cv * cv).ln();
-    // A variance that is finite and not negative always makes a distribution.
-    LogNormal::new(mean.max(1e-12).ln() - var / 2.0, var.sqrt()).map_or(mean, |d| d.sample(rng))
-}
-
 /// The factor of surges and bursts on all rates at a moment.
 fn all_rates(day: &Day, at: Us) -> f64 {
     let burst = day.bursts.iter().rev().find(|(from, _)| *from <= at).map_or(1.0, |(_, f)| *f);
--- a/crates/lab/src/traffic/recorded.rs
+++ b/crates/lab/src/traffic/recorded.rs
@@ -5,9 +5,9 @@
 use serde::{Deserialize, Serialize};
 
 use super::{caller, mark_over_share, Caller};
+use crate::day::SECOND;
+use crate::day::{us, Day};
 use crate::random::{stream, Purpose};
-use crate::world::day::{us, Day};
-use crate::world::SECOND;
 use crate::LabError;
 
 /// One line.
--- a/crates/lab/src/world/account.rs
+++ b/crates/lab/src/world/account.rs
@@ -3,8 +3,9 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
-use super::day::Day;
-use super::{Us, SECOND};
+use crate::day::Day;
+
+use crate::day::{Us, SECOND};
 use crate::traffic::Caller;
 
 /// What became of one caller.
--- a/crates/lab/src/world/exchange.rs
+++ b/crates/lab/src/world/exchange.rs
@@ -5,7 +5,8 @@
 use rand_distr::{Distribution, StandardNormal};
 
 use super::processor::{Processor, Up};
-use super::{clock, Ev, Figures, LegIx, Us, World, SECOND};
+use super::{clock, Ev, Figures, LegIx, World};
+use crate::day::{Us, SECOND};
 use crate::random::noise;
 
 /// A processor asks senders to hold back once its wait passes this share of the longest; all of it at the longest.
--- a/crates/lab/src/world/processor.rs
+++ b/crates/lab/src/world/processor.rs
@@ -6,8 +6,9 @@
 use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg64;
 
-use super::day::Works;
-use super::{LegIx, Us, SECOND};
+use super::LegIx;
+use crate::day::Works;
+use crate::day::{Us, SECOND};
 use crate::scenario::WorkTime;
 
 /// What a piece of work is for.
--- a/crates/lab/src/world/result.rs
+++ b/crates/lab/src/world/result.rs
@@ -8,7 +8,8 @@
 use super::account::{service, Quantiles, Service, Work};
 use super::processor::Up;
 use super::rules::Broken;
-use super::{AskState, Ev, World, SECOND};
+use super::{AskState, Ev, World};
+use crate::day::SECOND;
 
 /// How tries and attempts ended.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
--- a/crates/lab/src/world/rules.rs
+++ b/crates/lab/src/world/rules.rs
@@ -6,7 +6,7 @@
 use mallowring::interface::OfficeId;
 use serde::Serialize;
 
-use super::{Us, SECOND};
+use crate::day::{Us, SECOND};
 
 /// A rule.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
--- a/crates/lab/src/world/trouble.rs
+++ b/crates/lab/src/world/trouble.rs
@@ -2,9 +2,9 @@
 
 use mallowring::interface::{Condition, Outcome, Why};
 
-use super::day::TroubleDay;
 use super::processor::Up;
 use super::{AskIx, AskState, Ev, LegIx, World};
+use crate::day::TroubleDay;
 use crate::random::{noise, Purpose};
 use crate::LabError;
 
--- a/crates/lab/tests/common/mod.rs
+++ b/crates/lab/tests/common/mod.rs
@@ -6,10 +6,10 @@
 use mallowring::calls::{Command, Input};
 use mallowring::interface::Time;
 use mallowring::Tuning;
+use mallowring_lab::day::Day;
 use mallowring_lab::proxy::{Direct, Seats, Shipped, Told};
 use mallowring_lab::scenario::Scenario;
 use mallowring_lab::traffic::generate;
-use mallowring_lab::world::day::Day;
 use mallowring_lab::world::{run, DayResult};
 use mallowring_lab::LabError;
 
--- a/crates/lab/tests/twin.rs
+++ b/crates/lab/tests/twin.rs
@@ -8,9 +8,9 @@
 
 use common::scenario;
 use mallowring::Tuning;
+use mallowring_lab::day::Day;
 use mallowring_lab::proxy::{Shipped, Twin, Wire};
 use mallowring_lab::traffic::generate;
-use mallowring_lab::world::day::Day;
 use mallowring_lab::world::run;
 
 /// The adapter of the root package, built beside this test.
--- a/crates/lab/tests/world.rs
+++ b/crates/lab/tests/world.rs
@@ -3,9 +3,9 @@
 mod common;
 
 use common::{play, scenario, shipped};
+use mallowring_lab::day::Day;
 use mallowring_lab::proxy::Direct;
 use mallowring_lab::traffic::{generate, recorded};
-use mallowring_lab::world::day::Day;
 use mallowring_lab::world::DayResult;
 
 fn clean(day: &DayResult) {
