Captures: a form that survives cuts and flips, and a replay that decides one for one

Need: what goes wrong at three in the morning is learnt about at eight, and nothing is kept of what a proxy was told. First part of capture and replay.

Change: src/capture (no I/O): numbered entries of a call table's inputs and commands, in frames of postcard and LZ4 with CRC-32 over head and content; the replay. The proxy does not record yet.

--- a/crates/lab/src/cli.rs
+++ b/crates/lab/src/cli.rs
@@ -11,8 +11,9 @@
 use mallowring::interface::CallId;
 use mallowring::Tuning;
 
+use crate::captures;
 use crate::day::Day;
-use crate::proxy::{Follow, Shipped, Twin, Wire};
+use crate::proxy::{Follow, Recorded, Shipped, Twin, Wire};
 use crate::scenario::Scenario;
 use crate::study::stats::Verdict;
 use crate::study::sweep::{self, Axis};
@@ -168,6 +169,29 @@
         #[arg(long)]
         json: bool,
     },
+    /// Plays one day and keeps the capture of one proxy: all it was told, and what it commanded upon that.
+    Capture {
+        /// A scenario file.
+        scenario: PathBuf,
+        /// Its day.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// The proxy, from 0.
+        #[arg(long, default_value_t = 0)]
+        proxy: usize,
+        /// The file to write.
+        #[arg(long)]
+        out: PathBuf,
+    },
+    /// Decides captures again: the same one for one, or the first decision that differs.
+    Replay {
+        /// Capture files.
+        #[arg(required = true)]
+        captures: Vec<PathBuf>,
+        /// Decides with the tuned values of this candidate in place of those that were captured.
+        #[arg(long)]
+        candidate: Option<String>,
+    },
     /// Writes the calls of a scenario's day as a traffic file.
     Traffic {
         /// A scenario file.
@@ -363,6 +387,28 @@
             say(&if json { keep::json(&result) } else { table::comparison(&result) });
             Ok(true)
         }
+        Task::Capture { scenario, seed, proxy, out } => {
+            let scenario = Scenario::read(&scenario)?;
+            let day = Day::draw(&scenario, seed);
+            let mut seats = Recorded::new(Tuning::default());
+            let result = run(&day, &generate(&day), &mut seats, 0)?;
+            let Some(entries) = seats.captures.remove(&proxy) else {
+                return Err(LabError::Argument(format!("--proxy {proxy}: the day has {} proxies", day.n)));
+            };
+            let bytes = captures::write(&out, &entries)?;
+            say(&format!("{} entries, {bytes} bytes in {}", entries.len(), out.display()));
+            Ok(!findings("today", &[result]))
+        }
+        Task::Replay { captures, candidate } => {
+            let tuning = candidate.as_deref().map(Arm::named).transpose()?.map(|arm| arm.tuning);
+            let mut same = true;
+            for path in captures {
+                let (text, alike) = captures::decide_again(&path, tuning.as_ref())?;
+                say(&text);
+                same &= alike;
+            }
+            Ok(same)
+        }
         Task::Traffic { scenario, seed, out } => {
             let scenario = Scenario::read(&scenario)?;
             let day = Day::draw(&scenario, seed);
--- a/crates/lab/src/error.rs
+++ b/crates/lab/src/error.rs
@@ -56,6 +56,14 @@
         /// What is wrong.
         what: String,
     },
+    /// A capture can't be read or written.
+    #[error("{path}: {source}")]
+    Capture {
+        /// The file.
+        path: PathBuf,
+        /// What is wrong.
+        source: mallowring::capture::frame::CaptureError,
+    },
     /// An argument means nothing.
     #[error("{0}")]
     Argument(String),
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -5,6 +5,7 @@
 //! One seed gives one result, byte for byte, on any number of threads: there is no wall clock and no socket here,
 //! and every random draw comes from a stream named by its purpose ([`random`]).
 
+pub mod captures;
 pub mod cli;
 pub mod day;
 pub mod error;
--- a/crates/lab/src/proxy/mod.rs
+++ b/crates/lab/src/proxy/mod.rs
@@ -3,12 +3,14 @@
 
 mod direct;
 mod follow;
+mod recorded;
 mod shipped;
 mod twin;
 mod wire;
 
 pub use direct::Direct;
 pub use follow::Follow;
+pub use recorded::Recorded;
 pub use shipped::Shipped;
 pub use twin::{Difference, Twin};
 pub use wire::Wire;
--- /dev/null
+++ b/crates/lab/src/proxy/recorded.rs
@@ -0,0 +1,69 @@
+//! Shipped proxies whose captures are kept: what they were told, and what they commanded upon each of it.
+
+use std::collections::BTreeMap;
+
+use mallowring::calls::tenants::Tenant;
+use mallowring::calls::Command;
+use mallowring::capture::{Entry, Start, What};
+use mallowring::interface::Time;
+use mallowring::Tuning;
+
+use super::{Levels, Seats, Shipped, Told};
+use crate::day::Day;
+use crate::LabError;
+
+/// A fleet of them.
+#[derive(Debug)]
+pub struct Recorded {
+    inner: Shipped,
+    tuning: Tuning,
+    /// The captures, by proxy.
+    pub captures: BTreeMap<usize, Vec<Entry>>,
+}
+
+impl Recorded {
+    /// Empty seats.
+    pub fn new(tuning: Tuning) -> Self {
+        Recorded { inner: Shipped::new(tuning.clone()), tuning, captures: BTreeMap::new() }
+    }
+
+    fn keep(&mut self, proxy: usize, at: Time, what: What) {
+        let entries = self.captures.entry(proxy).or_default();
+        let seq = entries.len() as u64;
+        entries.push(Entry { seq, at, what });
+    }
+}
+
+impl Seats for Recorded {
+    fn start(&mut self, day: &Day, proxy: usize, now: Time, seed: u64) -> Result<(), LabError> {
+        let name = |t: &crate::day::TenantDay| t.name.clone();
+        let tenants = day.tenants.iter().map(name);
+        let tenants = tenants.map(|name| Tenant { name, suspended: false, max_calls: None }).collect();
+        let start = Start { settings: day.settings(proxy), tuning: self.tuning.clone(), tenants, seed };
+        self.keep(proxy, now, What::Start(Box::new(start)));
+        self.inner.start(day, proxy, now, seed)
+    }
+
+    fn stop(&mut self, proxy: usize) -> Result<(), LabError> {
+        self.inner.stop(proxy)
+    }
+
+    fn tick(&mut self, now: Time, told: Told, out: &mut Vec<(usize, Command)>) -> Result<(), LabError> {
+        for (proxy, inputs) in told {
+            for input in inputs {
+                self.keep(proxy, now, What::Told(input.clone()));
+                let from = out.len();
+                self.inner.tick(now, vec![(proxy, vec![input])], out)?;
+                let commands: Vec<Command> = out[from..].iter().map(|(_, c)| c.clone()).collect();
+                if !commands.is_empty() {
+                    self.keep(proxy, now, What::Commanded(commands));
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn levels(&self, proxy: usize) -> Option<Levels> {
+        self.inner.levels(proxy)
+    }
+}
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -10,12 +10,13 @@
 
 use std::sync::Arc;
 
+use serde::{Deserialize, Serialize};
 pub use table::{Table, MARGIN};
 
 use crate::interface::*;
 
 /// Which front a call came in by.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Front {
     /// The platform's protocol.
     Platform,
@@ -24,7 +25,7 @@
 }
 
 /// A call that a caller asks for.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Request {
     /// Its id, never used twice.
     pub id: CallId,
@@ -55,7 +56,7 @@
 }
 
 /// What the core is told.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Input {
     /// A caller asks for a call.
     Request(Request),
@@ -121,7 +122,7 @@
 }
 
 /// What a timer is for.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Wake {
     /// An attempt has run its time.
     Abandon(CallId, u32),
@@ -132,7 +133,7 @@
 }
 
 /// Why a request is turned down without the module being asked.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reject {
     /// No class of that name.
     Class,
@@ -145,7 +146,7 @@
 }
 
 /// What a caller is told.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Near {
     /// The call stands.
     Answer(Arc<[u8]>),
@@ -163,7 +164,7 @@
 }
 
 /// What an exchange is told.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Far {
     /// Set a call up.
     SetUp(SetUp),
@@ -180,7 +181,7 @@
 }
 
 /// One attempt.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct SetUp {
     /// Its number, from 0.
     pub leg: u32,
@@ -199,7 +200,7 @@
 }
 
 /// What the core wants done.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Command {
     /// Tell a caller.
     Near(Front, CallId, Near),
--- a/src/calls/tenants.rs
+++ b/src/calls/tenants.rs
@@ -40,7 +40,7 @@
 }
 
 /// One change of the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// A tenant that is not there yet.
     Create(Tenant),
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -8,7 +8,7 @@
 pub type Secs = f64;
 
 /// A point on the caller's clock, in seconds. The clock starts anywhere and only advances.
-#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct Time(pub f64);
 
 impl Add<Secs> for Time {
@@ -26,27 +26,27 @@
 }
 
 /// The id of an office (an exchange's processor, or a pool). It tells nothing of place or age.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct OfficeId(pub u64);
 
 /// The number of an exchange or pool; an office that takes another's place keeps its number.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ExchangeNo(pub i64);
 
 /// The id of a call, given back unchanged.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CallId(pub String);
 
 /// The position of a class in [`Settings::classes`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct ClassIx(pub usize);
 
 /// A value chosen with [`Action::Timer`] and given back by [`Event::Timer`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Token(pub u64);
 
 /// Where repeats of a guarded call are discarded.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Scope {
     /// At every office.
     All,
@@ -57,7 +57,7 @@
 }
 
 /// What a repeated set-up may do.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Effect {
     /// Repeats are harmless.
     Free,
@@ -68,7 +68,7 @@
 }
 
 /// One class of calls.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// Its name, for the adapter; no decision looks at it.
     pub name: String,
@@ -93,7 +93,7 @@
 }
 
 /// The kind of service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Form {
     /// Exchanges joined by trunk groups.
     Network,
@@ -102,7 +102,7 @@
 }
 
 /// How the list of offices arrives.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Discovery {
     /// Unprompted.
     Pushed,
@@ -111,7 +111,7 @@
 }
 
 /// How load reports arrive.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Telemetry {
     /// With outcomes and probe results.
     Piggyback,
@@ -122,7 +122,7 @@
 }
 
 /// What an instance is told at its start.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// The classes of call.
     pub classes: Vec<Class>,
@@ -177,7 +177,7 @@
 }
 
 /// What a report says of the trunk group and of the far processor; `None` where it says nothing.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
     /// Free circuits of the group (free agents of the pool).
     pub free: Option<f64>,
@@ -198,7 +198,7 @@
 }
 
 /// The condition of an office on the list.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Condition {
     /// In service.
     On,
@@ -210,7 +210,7 @@
 }
 
 /// One line of the list of offices.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Office {
     /// Its id.
     pub id: OfficeId,
@@ -265,7 +265,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// The call has ended well.
     Ended,
@@ -286,7 +286,7 @@
 }
 
 /// Why an attempt was turned away.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Why {
     /// Nothing was said.
     Unsaid,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -34,6 +34,7 @@
 
 pub mod admin;
 pub mod calls;
+pub mod capture;
 pub mod config;
 pub mod interface;
 pub mod logic;
