Log and count how attempts end, and further attempts of a call

The logs of the incident were empty: at the default level nothing told what had ended an attempt or that a call was attempted again. An attempt that times out, is reset or is cancelled is now logged at 'info' with its call, exchange, number and duration, so is each further attempt, an overtaken set-up and an answer that arrives after the CANCEL. Counters: attempts ended by outcome, further attempts, answers after a CANCEL. No decision is changed.

--- a/src/calls/table.rs
+++ b/src/calls/table.rs
@@ -59,6 +59,35 @@
     telemetry::request_refused(reason);
 }
 
+/// Logs and counts the end of an attempt that was not answered with success. An end that a rule attaches a pause to is
+/// logged at the default level, as it explains when and why the call is attempted again.
+fn record_attempt_end(
+    id: &CallId,
+    exchange: ExchangeId,
+    attempt: u32,
+    (outcome, cause): (Outcome, Cause),
+    elapsed: Secs,
+) {
+    telemetry::attempt_ended(outcome.name());
+    let (call, office) = (&id.0, exchange.0);
+    if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
+        tracing::info!(call, office, attempt, ?outcome, ?cause, elapsed_s = elapsed, "attempt ended");
+    } else {
+        tracing::debug!(call, office, attempt, ?outcome, ?cause, elapsed_s = elapsed, "attempt ended");
+    }
+}
+
+/// Logs an attempt that is sent, and counts it if it is not the first of its call.
+fn record_attempt(id: &CallId, exchange: ExchangeId, attempt: u32, direct: bool) {
+    let (call, office) = (&id.0, exchange.0);
+    if attempt > 0 {
+        telemetry::call_attempted_again();
+        tracing::info!(call, office, attempt, direct, "call attempted again");
+    } else {
+        tracing::debug!(call, office, attempt, direct, "attempt sent");
+    }
+}
+
 /// All calls of one signalling proxy, with the decision module for them.
 #[derive(Debug)]
 pub struct Table {
@@ -417,14 +446,7 @@
             if let Stage::Attempting { exchange_id: o, leg: l, sent } = call.stage {
                 if o == exchange_id && leg.is_none_or(|leg| leg == l) {
                     call.stage = Stage::NoAttempt;
-                    tracing::debug!(
-                        call = id.0,
-                        office = exchange_id.0,
-                        attempt = l,
-                        ?outcome,
-                        ?why,
-                        "attempt ended"
-                    );
+                    record_attempt_end(&id, exchange_id, l, (outcome, why), now - sent);
                     if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
                         call.not_before = now + self.settings.release_pause;
                     }
@@ -742,7 +764,7 @@
             description: call.description.clone(),
             abandon_at: expires_at,
         };
-        tracing::debug!(call = id.0, office = exchange_id.0, attempt = leg, direct, "attempt sent");
+        record_attempt(&id, exchange_id, leg, direct);
         effects.push(CallEffect::StartTimer(expires_at, CallTimer::AttemptTimeout(id.clone(), leg)));
         effects.push(CallEffect::Exchange(exchange_id, id, ExchangeCommand::SetUp(set_up)));
         None
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -291,6 +291,22 @@
     NotSent,
 }
 
+impl Outcome {
+    /// The name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Outcome::Completed => "completed",
+            Outcome::Error => "error",
+            Outcome::Refused => "refused",
+            Outcome::TimedOut => "timed out",
+            Outcome::ConnectFailed => "connect failed",
+            Outcome::Reset => "reset",
+            Outcome::Cancelled => "cancelled",
+            Outcome::NotSent => "not sent",
+        }
+    }
+}
+
 /// Why an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Cause {
--- a/src/net/peer/calls.rs
+++ b/src/net/peer/calls.rs
@@ -8,7 +8,7 @@
 use crate::interface::*;
 use crate::sip::message::Message;
 use crate::sip::{failure_outcome, q850_cause};
-use crate::wire;
+use crate::{telemetry, wire};
 
 /// Limit of the set-ups that wait for a connection. Waiting releases have no limit of their own: each belongs to a
 /// call whose record counts against the limit of the call table.
@@ -179,9 +179,10 @@
             }
         }
         for (connection_id, id, leg) in lost {
-            tracing::debug!(
+            tracing::info!(
                 office = self.exchange.0,
                 call = id.0,
+                connection = connection_id,
                 "set-up overtaken by a later one: cancelled"
             );
             self.send_cancel(connection_id, id.clone());
@@ -244,6 +245,14 @@
         self.write(connection_id, &self.request("ACK", "call", &id, 1));
         if leg.is_none() {
             cancelled_at.and_then(|ix| self.cancelled.remove(ix));
+            telemetry::answered_after_cancel();
+            tracing::info!(
+                office = self.exchange.0,
+                call = id.0,
+                connection = connection_id,
+                status,
+                "answer to a cancelled set-up"
+            );
         }
         if status < 300 {
             if let Some(invite) = &invite {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -24,6 +24,12 @@
 const ANSWERS: &str = "mallowring_answers_total";
 /// Refused requests, by reason.
 const REFUSALS: &str = "mallowring_refusals_total";
+/// Attempts that ended without success, by outcome.
+const ATTEMPTS_ENDED: &str = "mallowring_attempts_ended_total";
+/// Attempts that were not the first of their call.
+const FURTHER_ATTEMPTS: &str = "mallowring_further_attempts_total";
+/// Answers that arrived after their set-up was cancelled.
+const ANSWERS_AFTER_CANCEL: &str = "mallowring_answers_after_cancel_total";
 
 /// Failed attempts to connect to an exchange, by reason.
 const EXCHANGE_CONNECTS_FAILED: &str = "mallowring_exchange_connects_failed_total";
@@ -145,6 +151,21 @@
     metrics::counter!(REFUSALS, "reason" => reason).increment(1);
 }
 
+/// Counts an attempt that ended without success.
+pub fn attempt_ended(outcome: &'static str) {
+    metrics::counter!(ATTEMPTS_ENDED, "outcome" => outcome).increment(1);
+}
+
+/// Counts an attempt that is not the first of its call.
+pub fn call_attempted_again() {
+    metrics::counter!(FURTHER_ATTEMPTS).increment(1);
+}
+
+/// Counts an answer that arrived after its set-up was cancelled.
+pub fn answered_after_cancel() {
+    metrics::counter!(ANSWERS_AFTER_CANCEL).increment(1);
+}
+
 /// Counts a failed attempt to connect to an exchange.
 pub fn exchange_connect_failed(error: &std::io::Error) {
     let reason = match error.kind() {
