--- a/crates/standin/src/exchange/faults.rs
+++ b/crates/standin/src/exchange/faults.rs
@@ -19,6 +19,8 @@
 pub struct Misbehaviour {
     /// Additional delay of each answer, in seconds.
     pub answer_delay: f64,
+    /// Delay between the arrival of a message and its handling, in seconds. The order on a connection is kept.
+    pub read_delay: f64,
     /// Send every answer a second time, a few milliseconds later.
     pub duplicate_answers: bool,
     /// Replace every answer by a message that cannot be parsed.
--- a/crates/standin/src/exchange/mod.rs
+++ b/crates/standin/src/exchange/mod.rs
@@ -14,9 +14,10 @@
 
 pub use faults::Misbehaviour;
 use mallowring::sip::message::Message;
-use smol::channel::{unbounded, Receiver, Sender};
+use smol::channel::{bounded, unbounded, Receiver, Sender};
 use smol::io::AsyncWriteExt;
 use smol::net::{TcpListener, TcpStream};
+use smol::stream::{Stream, StreamExt};
 use socket2::Socket;
 
 use crate::messages::{self, call_id_of, MessageReader};
@@ -28,6 +29,8 @@
 /// Size in bytes of each write, and the pause in seconds after it, while [`Misbehaviour::fragmented_writes`] is set.
 const FRAGMENT_BYTES: usize = 24;
 const FRAGMENT_PAUSE_S: f64 = 0.001;
+/// Most messages of a connection that have arrived and are not handled. Further ones stay in the socket.
+const MAX_UNREAD_MESSAGES: usize = 64;
 /// Circuits of each trunk group.
 const CIRCUITS_PER_GROUP: u32 = 400;
 
@@ -231,6 +234,16 @@
         }
     }
 
+    /// Waits until the machine is connected to the network. Never returns if this process has been replaced.
+    async fn wait_until_reachable(&self, generation: u64) {
+        while self.0.condition.get() == Condition::CutOff || self.0.generation.get() != generation {
+            if generation < self.0.reset_below_generation.get() {
+                return;
+            }
+            sleep(POLL_INTERVAL_S).await;
+        }
+    }
+
     async fn serve(&self, port_index: usize, stream: TcpStream, generation: u64) {
         let _ = stream.set_nodelay(true);
         sleep(self.0.misbehaviour.get().accept_delay).await;
@@ -255,8 +268,9 @@
     }
 
     async fn read_messages(&self, port_index: usize, connection: u64, stream: TcpStream, generation: u64) {
-        let mut reader = MessageReader::new(stream);
-        while let Some(message) = reader.next().await {
+        let mut arrivals = self.receive_ahead(port_index, stream, generation);
+        while let Some((arrived_at, message)) = arrivals.next().await {
+            sleep(arrived_at + self.0.misbehaviour.get().read_delay - now()).await;
             self.wait_until_working(generation).await;
             while self.0.silenced.borrow().contains(&connection) {
                 sleep(POLL_INTERVAL_S).await;
@@ -271,6 +285,32 @@
         self.cancel_pending_on(port_index, connection);
     }
 
+    /// Receives the messages of a connection as they arrive, ahead of their handling, and records when each set-up has
+    /// arrived. The stream ends when the connection does.
+    fn receive_ahead(
+        &self,
+        port_index: usize,
+        stream: TcpStream,
+        generation: u64,
+    ) -> impl Stream<Item = (f64, Message)> + Unpin + use<> {
+        let (arrivals, queue) = bounded(MAX_UNREAD_MESSAGES);
+        let exchange = self.clone();
+        let receiving = async move {
+            let mut reader = MessageReader::new(stream);
+            while let Some(message) = reader.next().await {
+                exchange.wait_until_reachable(generation).await;
+                if message.method() == Some("INVITE") {
+                    exchange.record_call_event(port_index, &call_id_of(&message), Observation::SetUpArrived);
+                }
+                if arrivals.send((now(), message)).await.is_err() {
+                    return;
+                }
+            }
+        };
+        self.0.executor.spawn(receiving).detach();
+        Box::pin(queue)
+    }
+
     async fn write_queued(&self, connection: u64, mut stream: TcpStream, queue: Receiver<Vec<u8>>) {
         while let Ok(bytes) = queue.recv().await {
             let fragment_bytes =
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -34,6 +34,8 @@
     CallerConnected,
     /// A caller's connection was closed.
     CallerDisconnected,
+    /// A complete set-up arrived at an exchange, which may read it later.
+    SetUpArrived,
     /// An exchange read a complete set-up.
     SetUpReceived {
         /// Body of the set-up.
