Attempt a call again only after proof that the attempt before is over

Cause: an attempt counted as over when this proxy had cancelled it, or had noticed the end of its connection, by its own clock. A later answer on another connection does not prove either that an earlier set-up is lost: two of the five were set up. Class: a local timer taken for a remote party's acknowledgement.

Change: recovery::attempt_end names what proves an end: a final answer, a set-up that was never written, the end of the exchange's process. Without proof the call gets its final answer at once; the call table enforces it whatever the decision module asks for, and refuses a set-up that comes again under such a call's id. Overtaken set-ups are no longer cancelled; they only keep new ones off their connection. Paths covered: time-out, CANCEL, reset and close by either side, a message that can't be read, replaced and silent connections, an expired lease, removal from the roster, and the SIP front's lost connections and transaction time-outs. The pause stood twice; it is one function now.

--- a/crates/lab/src/proxy/wire.rs
+++ b/crates/lab/src/proxy/wire.rs
@@ -359,7 +359,10 @@
             // protocol has no message for a lost status.
             CallEvent::TimerExpired(CallTimer::Deadline(_))
             | CallEvent::ExchangeDown(_)
-            | CallEvent::StatusLost(_) => {}
+            | CallEvent::StatusLost(_)
+            // The model knows how each attempt ended, so it reports all ends by `SetUpFailed`.
+            | CallEvent::SetUpAbandoned { .. }
+            | CallEvent::ExchangeDisconnected(_) => {}
         }
     }
 
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -77,7 +77,7 @@
         /// The session description of the exchange, passed on unchanged.
         description: Arc<[u8]>,
     },
-    /// A set-up has ended without being answered.
+    /// A set-up has ended without being established: by a final answer of the exchange, or before it was sent.
     SetUpFailed {
         /// The call.
         id: CallId,
@@ -123,6 +123,21 @@
     TimerExpired(CallTimer),
     /// The state of the trunk group to an exchange is no longer received.
     StatusLost(ExchangeId),
+    /// A set-up has ended without a final answer of the exchange, such as with its connection. It may still be pending
+    /// there.
+    SetUpAbandoned {
+        /// The call.
+        id: CallId,
+        /// The exchange.
+        exchange: ExchangeId,
+        /// The attempt.
+        leg: u32,
+        /// How it ended for this proxy.
+        outcome: Outcome,
+    },
+    /// This proxy closes all its connections to an exchange: the set-ups in progress there end, and the exchange may
+    /// still read them.
+    ExchangeDisconnected(ExchangeId),
 }
 
 /// What a timer is for.
--- a/src/calls/table.rs
+++ b/src/calls/table.rs
@@ -9,6 +9,7 @@
 };
 use crate::interface::*;
 use crate::logic::Controller;
+use crate::recovery::attempt_end::{earliest_retry, AbandonedCalls, EndEvidence};
 use crate::telemetry;
 
 /// A final answer is sent at least this many seconds before the caller stops waiting, so that all of it arrives in
@@ -43,6 +44,8 @@
     attempts: u32,
     /// Earliest time of the next attempt.
     not_before: Time,
+    /// An attempt has ended without confirmation by its exchange: no other one may follow.
+    abandoned: bool,
     stage: Stage,
 }
 
@@ -59,21 +62,50 @@
     telemetry::request_refused(reason);
 }
 
+/// How an attempt ended.
+#[derive(Debug)]
+struct AttemptEnd {
+    outcome: Outcome,
+    cause: Cause,
+    report: LoadReport,
+    evidence: EndEvidence,
+}
+
+impl AttemptEnd {
+    /// An end without a message of the exchange.
+    fn silent(outcome: Outcome, evidence: EndEvidence) -> Self {
+        AttemptEnd { outcome, cause: Cause::Unspecified, report: LoadReport::default(), evidence }
+    }
+}
+
 /// Logs and counts the end of an attempt that was not answered with success. An end that a rule attaches a pause to is
-/// logged at the default level, as it explains when and why the call is attempted again.
-fn record_attempt_end(
-    id: &CallId,
-    exchange: ExchangeId,
-    attempt: u32,
-    (outcome, cause): (Outcome, Cause),
-    elapsed: Secs,
-) {
-    telemetry::attempt_ended(outcome.name());
-    let (call, office) = (&id.0, exchange.0);
+/// logged at the default level, as it explains when and why the call is attempted again or refused.
+fn record_attempt_end(id: &CallId, exchange: ExchangeId, attempt: u32, end: &AttemptEnd, elapsed: Secs) {
+    let AttemptEnd { outcome, cause, evidence, .. } = end;
+    telemetry::attempt_ended(outcome.name(), evidence.name());
+    let (call, office, evidence) = (&id.0, exchange.0, evidence.name());
     if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
-        tracing::info!(call, office, attempt, ?outcome, ?cause, elapsed_s = elapsed, "attempt ended");
+        tracing::info!(
+            call,
+            office,
+            attempt,
+            ?outcome,
+            ?cause,
+            evidence,
+            elapsed_s = elapsed,
+            "attempt ended"
+        );
     } else {
-        tracing::debug!(call, office, attempt, ?outcome, ?cause, elapsed_s = elapsed, "attempt ended");
+        tracing::debug!(
+            call,
+            office,
+            attempt,
+            ?outcome,
+            ?cause,
+            evidence,
+            elapsed_s = elapsed,
+            "attempt ended"
+        );
     }
 }
 
@@ -105,6 +137,8 @@
     own_exchanges: BTreeSet<ExchangeId>,
     /// Exchanges whose trunk group state has been received.
     status_received: BTreeSet<ExchangeId>,
+    /// Calls that ended while an attempt of theirs may still have been pending.
+    abandoned_calls: AbandonedCalls,
     /// Buffer for the actions of the controller, kept for reuse.
     actions: Vec<Action>,
     /// The proxy is shutting down: new requests are refused.
@@ -137,6 +171,7 @@
             listed_numbers: BTreeSet::new(),
             own_exchanges: BTreeSet::new(),
             status_received: BTreeSet::new(),
+            abandoned_calls: AbandonedCalls::default(),
             actions: Vec::new(),
             shutting_down: false,
             bytes_in_use: 0,
@@ -184,9 +219,12 @@
         &mut self.tenants
     }
 
-    /// Removes a call and updates the counters of its tenant.
+    /// Removes a call and updates the counters of its tenant. An attempt that is still in progress is given up.
     fn remove_call(&mut self, id: &CallId, count: impl FnOnce(&mut Counts)) -> Option<Call> {
         let call = self.calls.remove(id)?;
+        if call.abandoned || matches!(call.stage, Stage::Attempting { .. }) {
+            self.abandoned_calls.insert(id.clone());
+        }
         self.bytes_in_use = self.bytes_in_use.saturating_sub(call.record_bytes());
         self.tenants.count(call.tenant.as_ref(), |counts| {
             counts.present = counts.present.saturating_sub(1);
@@ -228,8 +266,13 @@
             CallEvent::Answered { id, exchange: exchange_id, leg, description } => {
                 self.on_answered(now, id, exchange_id, leg, description, effects);
             }
-            CallEvent::SetUpFailed { id, exchange: exchange_id, leg, outcome, cause: end_cause, report } => {
-                self.on_set_up_failed(now, id, exchange_id, leg, (outcome, end_cause, report), effects);
+            CallEvent::SetUpFailed { id, exchange: exchange_id, leg, outcome, cause, report } => {
+                let end = AttemptEnd { outcome, cause, report, evidence: EndEvidence::FinalAnswer };
+                self.on_set_up_failed(now, id, exchange_id, leg, end, effects);
+            }
+            CallEvent::SetUpAbandoned { id, exchange: exchange_id, leg, outcome } => {
+                let end = AttemptEnd::silent(outcome, EndEvidence::Unconfirmed);
+                self.on_set_up_failed(now, id, exchange_id, Some(leg), end, effects);
             }
             CallEvent::ExchangeReleased { id, exchange: exchange_id, completed: was_completed, report } => {
                 self.on_exchange_released(now, id, exchange_id, was_completed, report, effects);
@@ -247,6 +290,9 @@
             }
             CallEvent::StatusLost(exchange_id) => self.decide(now, Event::StatusLost(exchange_id), effects),
             CallEvent::ExchangeDown(exchange_id) => self.on_exchange_down(now, exchange_id, now, effects),
+            CallEvent::ExchangeDisconnected(exchange_id) => {
+                self.on_exchange_disconnected(now, exchange_id, effects);
+            }
             CallEvent::Roster { full: full_roster, entries: roster_entries } => {
                 self.on_roster(now, full_roster, roster_entries, effects)
             }
@@ -279,6 +325,8 @@
         }
         let reason = if self.shutting_down {
             Some("shutting down")
+        } else if self.abandoned_calls.contains(&id) {
+            Some("attempt unconfirmed")
         } else if self.tenants.is_full(tenant.as_ref()) {
             Some("tenant full")
         } else if self.bytes_in_use + RECORD_BYTES + request.description.len() > self.max_bytes {
@@ -311,6 +359,7 @@
             deadline: now + ttl,
             attempts: 0,
             not_before: now,
+            abandoned: false,
             stage: Stage::NoAttempt,
         };
         effects.push(CallEffect::StartTimer(call.deadline, CallTimer::Deadline(id.clone())));
@@ -383,7 +432,7 @@
             id.clone(),
             ExchangeCommand::Release { leg: Some(leg) },
         ));
-        let end = (Outcome::Cancelled, Cause::Unspecified, LoadReport::default());
+        let end = AttemptEnd::silent(Outcome::Cancelled, EndEvidence::Unconfirmed);
         self.report_end(now, &id, (exchange_id, leg, sent), end, true, effects);
     }
 
@@ -439,34 +488,23 @@
         id: CallId,
         exchange_id: ExchangeId,
         leg: Option<u32>,
-        (outcome, why, report): (Outcome, Cause, LoadReport),
+        end: AttemptEnd,
         effects: &mut Vec<CallEffect>,
     ) {
         if let Some(call) = self.calls.get_mut(&id) {
             if let Stage::Attempting { exchange_id: o, leg: l, sent } = call.stage {
                 if o == exchange_id && leg.is_none_or(|leg| leg == l) {
                     call.stage = Stage::NoAttempt;
-                    record_attempt_end(&id, exchange_id, l, (outcome, why), now - sent);
-                    if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
-                        call.not_before = now + self.settings.release_pause;
-                    }
-                    return self.report_end(
-                        now,
-                        &id,
-                        (exchange_id, l, sent),
-                        (outcome, why, report),
-                        false,
-                        effects,
-                    );
+                    call.abandoned |= !end.evidence.permits_retry();
+                    call.not_before = earliest_retry(now, end.outcome, self.settings.release_pause);
+                    record_attempt_end(&id, exchange_id, l, &end, now - sent);
+                    return self.report_end(now, &id, (exchange_id, l, sent), end, false, effects);
                 }
             }
         }
-        if report != LoadReport::default() {
-            self.decide(
-                now,
-                Event::Status { exchange: exchange_id, ok: true, elapsed: 0.0, report },
-                effects,
-            );
+        if end.report != LoadReport::default() {
+            let (exchange, report) = (exchange_id, end.report);
+            self.decide(now, Event::Status { exchange, ok: true, elapsed: 0.0, report }, effects);
         }
     }
 
@@ -493,17 +531,32 @@
         self.remove_call(&id, |_| {});
         effects.push(CallEffect::Caller(front, id.clone(), CallerCommand::Release { completed: whole }));
         let outcome = if whole { Outcome::Completed } else { Outcome::Reset };
-        self.report_end(
-            now,
-            &id,
-            (exchange_id, leg, sent),
-            (outcome, Cause::Unspecified, report),
-            true,
-            effects,
-        );
+        let end = AttemptEnd { report, ..AttemptEnd::silent(outcome, EndEvidence::FinalAnswer) };
+        self.report_end(now, &id, (exchange_id, leg, sent), end, true, effects);
     }
 
-    /// The process of an exchange has died: attempts and calls that were sent to it up to `before` end as reset.
+    /// The connections to an exchange are closed: the attempts in progress there end as reset.
+    fn on_exchange_disconnected(
+        &mut self,
+        now: Time,
+        exchange_id: ExchangeId,
+        effects: &mut Vec<CallEffect>,
+    ) {
+        let is_attempted_there =
+            |call: &Call| matches!(call.stage, Stage::Attempting { exchange_id: o, .. } if o == exchange_id);
+        let affected: Vec<CallId> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| is_attempted_there(call))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in affected {
+            let end = AttemptEnd::silent(Outcome::Reset, EndEvidence::Unconfirmed);
+            self.on_set_up_failed(now, id, exchange_id, None, end, effects);
+        }
+    }
+
+    /// The process of an exchange has ended: attempts and calls that were sent to it up to `before` end as reset.
     fn on_exchange_down(
         &mut self,
         now: Time,
@@ -520,14 +573,8 @@
             self.calls.iter().filter(|(_, c)| is_at_exchange(&c.stage)).map(|(id, _)| id.clone()).collect();
         for id in affected {
             self.on_exchange_released(now, id.clone(), exchange_id, false, LoadReport::default(), effects);
-            self.on_set_up_failed(
-                now,
-                id,
-                exchange_id,
-                None,
-                (Outcome::Reset, Cause::Unspecified, LoadReport::default()),
-                effects,
-            );
+            let end = AttemptEnd::silent(Outcome::Reset, EndEvidence::ProcessEnded);
+            self.on_set_up_failed(now, id, exchange_id, None, end, effects);
         }
     }
 
@@ -609,7 +656,7 @@
                         id.clone(),
                         ExchangeCommand::CancelSetUp { leg },
                     ));
-                    let end = (Outcome::TimedOut, Cause::Unspecified, LoadReport::default());
+                    let end = AttemptEnd::silent(Outcome::TimedOut, EndEvidence::Unconfirmed);
                     self.on_set_up_failed(now, id, exchange_id, Some(leg), end, effects);
                 }
             }
@@ -638,7 +685,7 @@
         now: Time,
         id: &CallId,
         (exchange_id, leg, sent): (ExchangeId, u32, Time),
-        (outcome, end_cause, report): (Outcome, Cause, LoadReport),
+        end: AttemptEnd,
         is_concluded: bool,
         effects: &mut Vec<CallEffect>,
     ) {
@@ -647,12 +694,13 @@
             id: id.clone(),
             leg,
             exchange: exchange_id,
-            outcome,
+            outcome: end.outcome,
             elapsed: took,
-            cause: end_cause,
+            cause: end.cause,
             retry_after: None,
             concluded: is_concluded,
-            report,
+            unconfirmed: !end.evidence.permits_retry(),
+            report: end.report,
         };
         self.decide(now, Event::AttemptEnded(result), effects);
     }
@@ -693,7 +741,7 @@
                         id.clone(),
                         ExchangeCommand::CancelSetUp { leg },
                     ));
-                    let end = (Outcome::Cancelled, Cause::Unspecified, LoadReport::default());
+                    let end = AttemptEnd::silent(Outcome::Cancelled, EndEvidence::Unconfirmed);
                     self.on_set_up_failed(now, id, exchange_id, Some(leg), end, effects);
                 }
             }
@@ -726,6 +774,8 @@
         call.attempts += 1;
         let forbidden = if call.stage != Stage::NoAttempt {
             Some("an attempt is out or the call stands")
+        } else if call.abandoned {
+            Some("an earlier attempt may still be pending")
         } else if leg >= max_attempts {
             Some("no attempt is left")
         } else if now < call.not_before {
@@ -748,6 +798,7 @@
                 cause: Cause::Unspecified,
                 retry_after: None,
                 concluded: false,
+                unconfirmed: false,
                 report: LoadReport::default(),
             }));
         }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -343,6 +343,8 @@
     pub retry_after: Option<Secs>,
     /// The call is over; no further attempt follows.
     pub concluded: bool,
+    /// The exchange has not confirmed the end: the attempt may still be pending there, and no other one may follow.
+    pub unconfirmed: bool,
     /// The load report that came with the result.
     pub report: LoadReport,
 }
@@ -423,6 +425,8 @@
     /// After the result of the last attempt no other route can help: the lines of the number or a processor are
     /// busy.
     Busy,
+    /// The last attempt may still be pending at its exchange.
+    Unconfirmed,
 }
 
 impl Refusal {
@@ -439,6 +443,7 @@
             Refusal::NoRoute => "no route",
             Refusal::Exhausted => "spent",
             Refusal::Busy => "busy",
+            Refusal::Unconfirmed => "attempt unconfirmed",
         }
     }
 }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::*;
+use crate::recovery::attempt_end::earliest_retry;
 
 // ---- Default tuning and constants ----------------------------------------------------------------
 
@@ -1015,14 +1016,11 @@
         {
             exchange.paused_until = Time(exchange.paused_until.0.max(now.0 + self.tuning.refused_pause));
         }
+        call.not_before = earliest_retry(now, result.outcome, self.settings.release_pause);
         match (result.outcome, result.cause) {
-            (Outcome::TimedOut, _) => {
-                call.not_before = now + self.settings.release_pause;
-                if !overtaken {
-                    self.record_no_answer(now, dest, result.exchange, result.elapsed);
-                }
+            (Outcome::TimedOut, _) if !overtaken => {
+                self.record_no_answer(now, dest, result.exchange, result.elapsed);
             }
-            (Outcome::Reset | Outcome::Cancelled, _) => call.not_before = now + self.settings.release_pause,
             (Outcome::Error, Cause::LinesBusy) => {
                 self.gap_number(now, number);
                 retry = false;
@@ -1048,7 +1046,9 @@
             (Outcome::ConnectFailed, _) => self.record_no_answer(now, dest, result.exchange, result.elapsed),
             _ => {}
         }
-        if retry {
+        if result.unconfirmed {
+            self.conclude(&id, Refusal::Unconfirmed, actions);
+        } else if retry {
             self.attempt_or_conclude(now, &id, actions);
         } else {
             self.conclude(&id, Refusal::Busy, actions);
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -105,6 +105,11 @@
                     if full {
                         entries.extend(self.sip_exchanges.iter().cloned());
                     }
+                    // A removed exchange may still work, cut off from discovery.
+                    for exchange in &removed {
+                        let disconnected = CallEvent::ExchangeDisconnected(*exchange);
+                        self.table.handle(now, disconnected, &mut effects);
+                    }
                     self.table.handle(now, CallEvent::Roster { full, entries }, &mut effects);
                     self.apply_effects(&mut effects, &peers).await;
                     for exchange_id in removed {
--- a/src/net/peer/calls.rs
+++ b/src/net/peer/calls.rs
@@ -13,7 +13,7 @@
 /// Limit of the set-ups that wait for a connection. Waiting releases have no limit of their own: each belongs to a
 /// call whose record counts against the limit of the call table.
 const MAX_QUEUED_SET_UPS: usize = 512;
-/// A set-up overtaken by a later one counts as lost after this share of its time limit.
+/// A set-up overtaken by a later one is a sign of failure after this share of its time limit.
 const OVERTAKEN_SHARE: f64 = 0.2;
 /// Limit of the cancelled set-ups that are remembered because their answers may have crossed the CANCEL.
 const MAX_CANCELLED: usize = 256;
@@ -117,7 +117,7 @@
                 let Some((connection_id, connection)) = least_loaded else { return };
                 connection
                     .pending_set_ups
-                    .insert(id, PendingInvite { leg, width, sent_at, expires_at, direct });
+                    .insert(id, PendingInvite { leg, width, sent_at, expires_at, direct, overtaken: false });
                 (*connection_id, message)
             }
             // Handled by `cancel_set_up`, on the connection of its set-up.
@@ -160,36 +160,28 @@
         }
     }
 
-    /// Cancels set-ups that are lost: an exchange takes direct set-ups in order, and a later one was answered.
-    async fn cancel_overtaken(&mut self) {
+    /// Counts a sign of failure for each connection on which a direct set-up was overtaken: one that was sent later, on
+    /// another connection, was answered first. The set-up itself goes on waiting: the exchange may still be working on
+    /// it.
+    fn count_overtaken(&mut self) {
         let (now, latest) = (self.now(), self.latest_answered_send);
-        let overtaken = |invite: &PendingInvite| {
-            let grace = OVERTAKEN_SHARE * (invite.expires_at - invite.sent_at);
-            invite.direct && invite.sent_at < latest && now - invite.sent_at >= grace
-        };
-        let mut lost = Vec::new();
         for (connection_id, connection) in &mut self.connections {
-            let pending = std::mem::take(&mut connection.pending_set_ups);
-            let (overtaken_set_ups, remaining): (BTreeMap<_, _>, _) =
-                pending.into_iter().partition(|(_, i)| overtaken(i));
-            connection.pending_set_ups = remaining;
-            for (id, invite) in overtaken_set_ups {
-                connection.failure_signs += u32::from(connection.last_answer <= invite.sent_at);
-                lost.push((*connection_id, id, invite.leg));
+            let last_answer = connection.last_answer;
+            for (id, invite) in &mut connection.pending_set_ups {
+                let grace = OVERTAKEN_SHARE * (invite.expires_at - invite.sent_at);
+                let overtaken = invite.direct && invite.sent_at < latest && now - invite.sent_at >= grace;
+                if !overtaken || std::mem::replace(&mut invite.overtaken, true) {
+                    continue;
+                }
+                tracing::info!(
+                    office = self.exchange.0,
+                    call = id.0,
+                    connection = connection_id,
+                    "set-up overtaken by a later one"
+                );
+                connection.failure_signs += u32::from(last_answer <= invite.sent_at);
             }
         }
-        for (connection_id, id, leg) in lost {
-            tracing::info!(
-                office = self.exchange.0,
-                call = id.0,
-                connection = connection_id,
-                "set-up overtaken by a later one: cancelled"
-            );
-            self.send_cancel(connection_id, id.clone());
-            self.set_up_failed(id, Some(leg), Outcome::Cancelled, Cause::Unspecified, LoadReport::default())
-                .await;
-            self.replace_failing(connection_id);
-        }
     }
 
     pub(super) async fn handle_sip_message(&mut self, connection_id: u64, message: Message) {
@@ -262,7 +254,7 @@
             self.send_event(CallEvent::Answered { id, exchange: self.exchange, leg, description }).await;
             if let Some(invite) = invite.filter(|i| i.direct && i.sent_at > self.latest_answered_send) {
                 self.latest_answered_send = invite.sent_at;
-                self.cancel_overtaken().await;
+                self.count_overtaken();
             }
             return;
         }
--- a/src/net/peer/connections.rs
+++ b/src/net/peer/connections.rs
@@ -162,7 +162,7 @@
         let last = self.connections.is_empty();
         self.last_connection_lost |= last;
         self.connect();
-        self.fail_pending_set_ups(lost).await;
+        self.abandon_pending_set_ups(lost).await;
         if last && self.service_state == ServiceState::Draining {
             // A draining exchange has stopped. A process that listens at its address later is another exchange, with
             // its own roster entry.
@@ -170,16 +170,11 @@
         }
     }
 
-    pub(super) async fn fail_pending_set_ups(&mut self, connection: PeerConnection) {
+    /// Reports the set-ups that were pending on a connection that has ended. The exchange may notice its end later.
+    pub(super) async fn abandon_pending_set_ups(&mut self, connection: PeerConnection) {
         for (id, invite) in connection.pending_set_ups {
-            self.set_up_failed(
-                id,
-                Some(invite.leg),
-                Outcome::Reset,
-                Cause::Unspecified,
-                LoadReport::default(),
-            )
-            .await;
+            let (exchange, leg, outcome) = (self.exchange, invite.leg, Outcome::Reset);
+            self.send_event(CallEvent::SetUpAbandoned { id, exchange, leg, outcome }).await;
         }
     }
 
--- a/src/net/peer/mod.rs
+++ b/src/net/peer/mod.rs
@@ -93,9 +93,10 @@
     width: u32,
     sent_at: Time,
     expires_at: Time,
-    /// It goes straight to its destination and so waits at this exchange alone, in the order of sending. An answer to
-    /// a later set-up shows that this one is lost.
+    /// It goes straight to its destination and so waits at this exchange alone, mostly in the order of sending.
     direct: bool,
+    /// A later direct set-up was answered before it.
+    overtaken: bool,
 }
 
 /// State of the actor.
@@ -219,7 +220,7 @@
         let connections = std::mem::take(&mut self.connections);
         self.fail_queued_set_ups().await;
         for connection in connections.into_values() {
-            self.fail_pending_set_ups(connection).await;
+            self.abandon_pending_set_ups(connection).await;
         }
     }
 
@@ -245,7 +246,7 @@
             );
             self.liveness.connection_closed(self.now(), connection_id, CloseKind::Other);
             if let Some(connection) = self.connections.remove(&connection_id) {
-                self.fail_pending_set_ups(connection).await;
+                self.abandon_pending_set_ups(connection).await;
             }
         }
         self.connect();
--- a/src/sip/agent.rs
+++ b/src/sip/agent.rs
@@ -764,22 +764,21 @@
 
     fn on_failed(&mut self, key: &TransactionKey, failure: TransactionFailure, out: &mut Vec<AgentOutput>) {
         let Some((id, leg)) = self.attempts_by_client_key.get(key).cloned() else { return };
-        let outcome = match failure {
-            TransactionFailure::Timeout => Outcome::TimedOut,
-            TransactionFailure::Unreachable => Outcome::ConnectFailed,
-            TransactionFailure::ConnectionLost => Outcome::Reset,
-        };
-        if let Some(exchange) = self.remove_exchange_side(&(id.clone(), leg), out) {
-            let (leg, cause, report) = (Some(leg), Cause::Unspecified, LoadReport::default());
-            out.push(AgentOutput::CallTable(CallEvent::SetUpFailed {
+        let Some(exchange) = self.remove_exchange_side(&(id.clone(), leg), out) else { return };
+        let abandoned = |id, outcome| CallEvent::SetUpAbandoned { id, exchange, leg, outcome };
+        let event = match failure {
+            TransactionFailure::Timeout => abandoned(id, Outcome::TimedOut),
+            TransactionFailure::ConnectionLost => abandoned(id, Outcome::Reset),
+            TransactionFailure::Unreachable => CallEvent::SetUpFailed {
                 id,
                 exchange,
-                leg,
-                outcome,
-                cause,
-                report,
-            }));
-        }
+                leg: Some(leg),
+                outcome: Outcome::ConnectFailed,
+                cause: Cause::Unspecified,
+                report: LoadReport::default(),
+            },
+        };
+        out.push(AgentOutput::CallTable(event));
     }
 }
 
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -24,7 +24,7 @@
 const ANSWERS: &str = "mallowring_answers_total";
 /// Refused requests, by reason.
 const REFUSALS: &str = "mallowring_refusals_total";
-/// Attempts that ended without success, by outcome.
+/// Attempts that ended without success, by outcome and by what proves their end.
 const ATTEMPTS_ENDED: &str = "mallowring_attempts_ended_total";
 /// Attempts that were not the first of their call.
 const FURTHER_ATTEMPTS: &str = "mallowring_further_attempts_total";
@@ -152,8 +152,8 @@
 }
 
 /// Counts an attempt that ended without success.
-pub fn attempt_ended(outcome: &'static str) {
-    metrics::counter!(ATTEMPTS_ENDED, "outcome" => outcome).increment(1);
+pub fn attempt_ended(outcome: &'static str, evidence: &'static str) {
+    metrics::counter!(ATTEMPTS_ENDED, "outcome" => outcome, "evidence" => evidence).increment(1);
 }
 
 /// Counts an attempt that is not the first of its call.
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -603,6 +603,7 @@
                 cause: failure_cause,
                 retry_after: named_wait,
                 concluded: a.closed,
+                unconfirmed: false,
                 report: parse_report(&a.server_stats),
             })
         }
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -182,6 +182,53 @@
     }
 }
 
+/// Guards against a second attempt while the exchange may not have read the end of the first one: after a lost
+/// connection, or the close of all connections to a removed exchange, the call is refused at once, and a set-up that
+/// comes again under its id is refused as well.
+#[test]
+fn no_attempt_follows_one_whose_end_its_exchange_has_not_confirmed() {
+    let exchange = ExchangeId(103);
+    let abandoned =
+        |id, leg, outcome| CallEvent::SetUpAbandoned { id, exchange: ExchangeId(103), leg, outcome };
+    let events: [fn(CallId) -> CallEvent; 2] = [
+        |id| CallEvent::SetUpAbandoned { id, exchange: ExchangeId(103), leg: 0, outcome: Outcome::Reset },
+        |_| CallEvent::ExchangeDisconnected(ExchangeId(103)),
+    ];
+    for event in events {
+        let mut harness = Harness::new();
+        let id = harness.attempted_call("a");
+        assert!(harness.handle(abandoned(id.clone(), 1, Outcome::Reset)).is_empty(), "another attempt");
+        harness.now += 0.1;
+        let effects = harness.handle(event(id.clone()));
+        assert_eq!(set_ups(&effects), 0, "{effects:?}");
+        assert!(matches!(caller_commands(&effects)[..], [CallerCommand::Refuse(Some(_))]), "{effects:?}");
+        for (at, timer) in timers(&effects) {
+            harness.now = at;
+            assert_eq!(set_ups(&harness.handle(CallEvent::TimerExpired(timer))), 0);
+        }
+        harness.now += 1.0;
+        let again = harness.handle(CallEvent::Request(harness.request("a")));
+        assert_eq!(set_ups(&again), 0, "{again:?}");
+        assert!(matches!(caller_commands(&again)[..], [CallerCommand::Refuse(Some(_))]), "{again:?}");
+        // Other calls to the exchange go on.
+        harness.attempted_call("b");
+    }
+    // An attempt that the caller gave up, or that timed out, is abandoned as well.
+    let mut harness = Harness::new();
+    let id = harness.attempted_call("a");
+    harness.handle(CallEvent::CallerGaveUp(id));
+    assert_eq!(set_ups(&harness.handle(CallEvent::Request(harness.request("a")))), 0);
+    // A call whose attempts were all answered may come again under its id.
+    let id = harness.established_call("b");
+    harness.handle(CallEvent::ExchangeReleased {
+        id,
+        exchange,
+        completed: true,
+        report: LoadReport::default(),
+    });
+    harness.attempted_call("b");
+}
+
 /// Guards against a second final answer, and against a call that is left established at the exchange, when an answer
 /// crosses the cancel of its attempt.
 #[test]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -178,6 +178,7 @@
             cause: failure_cause,
             retry_after: None,
             concluded: false,
+            unconfirmed: false,
             report: LoadReport::default(),
         };
         self.handle(Event::AttemptEnded(result))
