Soak: a relay, exchanges that read late, stopped proxies; judge attempts from their arrival

The soak had no faults of the network between working parties, none of late reading and none of a proxy that is held up. crates/standin has a relay in front of an exchange with one-way cuts and delays; half of the plans use it. New faults: cut-to-exchange, cut-from-exchange, slow-network, reads-late, stop (SIGSTOP up to 0.4 s).

An attempt now lasts from its arrival until the exchange wrote its answer, read the CANCEL or the close, or its process ended.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -28,6 +28,8 @@
     AnswersTwice,
     /// An exchange sends answers that cannot be parsed.
     AnswersSpoilt,
+    /// An exchange reads messages some time after they have arrived.
+    ReadsLate,
     /// An exchange writes its messages in fragments.
     Pieces,
     /// An exchange serves new connections late.
@@ -40,6 +42,12 @@
     Close,
     /// One connection to an exchange turns silent.
     SilentConnection,
+    /// Nothing that the proxies send arrives at an exchange; the other direction works. Needs the relay.
+    CutToExchange,
+    /// Nothing that an exchange sends arrives at the proxies; the other direction works. Needs the relay.
+    CutFromExchange,
+    /// Messages between an exchange and the proxies arrive late. Needs the relay.
+    SlowNetwork,
     /// Discovery is down.
     DiscoveryDown,
     /// Discovery accepts connections but sends nothing.
@@ -50,6 +58,8 @@
     Terminate,
     /// A proxy gets SIGKILL.
     Kill,
+    /// The process of a proxy is stopped and continued (SIGSTOP, SIGCONT).
+    Stop,
     /// Callers give up early and repeat the call at once.
     GiveUpEarly,
     /// Callers close their connections and reconnect.
@@ -64,7 +74,7 @@
 
 impl FaultKind {
     /// All kinds, in the order in which plans draw from them.
-    pub const ALL: [FaultKind; 26] = [
+    pub const ALL: [FaultKind; 31] = [
         FaultKind::Vanish,
         FaultKind::CutOff,
         FaultKind::Hang,
@@ -75,17 +85,22 @@
         FaultKind::AnswersLate,
         FaultKind::AnswersTwice,
         FaultKind::AnswersSpoilt,
+        FaultKind::ReadsLate,
         FaultKind::Pieces,
         FaultKind::AcceptsLate,
         FaultKind::ReleasesElsewhere,
         FaultKind::Reset,
         FaultKind::Close,
         FaultKind::SilentConnection,
+        FaultKind::CutToExchange,
+        FaultKind::CutFromExchange,
+        FaultKind::SlowNetwork,
         FaultKind::DiscoveryDown,
         FaultKind::DiscoverySilent,
         FaultKind::DiscoveryMoves,
         FaultKind::Terminate,
         FaultKind::Kill,
+        FaultKind::Stop,
         FaultKind::GiveUpEarly,
         FaultKind::CallersReturn,
         FaultKind::SlowWriters,
@@ -106,17 +121,22 @@
             FaultKind::AnswersLate => "answers-late",
             FaultKind::AnswersTwice => "answers-twice",
             FaultKind::AnswersSpoilt => "answers-spoilt",
+            FaultKind::ReadsLate => "reads-late",
             FaultKind::Pieces => "pieces",
             FaultKind::AcceptsLate => "accepts-late",
             FaultKind::ReleasesElsewhere => "releases-elsewhere",
             FaultKind::Reset => "reset",
             FaultKind::Close => "close",
             FaultKind::SilentConnection => "silent-connection",
+            FaultKind::CutToExchange => "cut-to-exchange",
+            FaultKind::CutFromExchange => "cut-from-exchange",
+            FaultKind::SlowNetwork => "slow-network",
             FaultKind::DiscoveryDown => "discovery-down",
             FaultKind::DiscoverySilent => "discovery-silent",
             FaultKind::DiscoveryMoves => "discovery-moves",
             FaultKind::Terminate => "terminate",
             FaultKind::Kill => "kill",
+            FaultKind::Stop => "stop",
             FaultKind::GiveUpEarly => "give-up-early",
             FaultKind::CallersReturn => "callers-return",
             FaultKind::SlowWriters => "slow-writers",
@@ -133,6 +153,7 @@
             }
             FaultKind::Terminate
             | FaultKind::Kill
+            | FaultKind::Stop
             | FaultKind::GiveUpEarly
             | FaultKind::CallersReturn
             | FaultKind::SlowWriters
@@ -142,11 +163,18 @@
         }
     }
 
+    /// Returns whether the fault is one of the relay between the proxies and an exchange.
+    pub fn needs_relay(self) -> bool {
+        matches!(self, FaultKind::CutToExchange | FaultKind::CutFromExchange | FaultKind::SlowNetwork)
+    }
+
     /// Returns the shortest and the longest duration, in seconds.
     pub fn duration_range_s(self) -> (f64, f64) {
         match self {
             FaultKind::Vanish => (4.0, 14.0),
-            FaultKind::CutOff => (0.3, 6.0),
+            FaultKind::CutOff | FaultKind::CutToExchange | FaultKind::CutFromExchange => (0.3, 6.0),
+            // Final answers up to half a second late are no breach (STANDING, 'The whole fleet').
+            FaultKind::Stop => (0.05, 0.4),
             FaultKind::Hang => (0.3, 12.0),
             FaultKind::Die | FaultKind::ReplaceAtAddress => (0.2, 4.0),
             FaultKind::Drain => (1.0, 4.0),
--- a/crates/soak/src/judge/calls.rs
+++ b/crates/soak/src/judge/calls.rs
@@ -22,9 +22,9 @@
     breaches.extend(answer(call, context));
     breaches.extend(second_answer(call));
     breaches.extend(description(call));
-    breaches.extend(one_attempt(call, context));
+    breaches.extend(one_attempt(call));
     breaches.extend(attempts(call, parameters));
-    breaches.extend(pause(call, context, parameters));
+    breaches.extend(pause(call, parameters));
     breaches.extend(sent_after_answer(call, context));
     breaches.extend(call.attempts.iter().filter_map(|attempt| drain(call, attempt, context, parameters)));
     breaches.extend(release(call, context));
@@ -96,15 +96,11 @@
     None
 }
 
-fn one_attempt(call: &CallHistory, context: &TrialContext) -> Option<Breach> {
+fn one_attempt(call: &CallHistory) -> Option<Breach> {
     for (ix, first) in call.attempts.iter().enumerate() {
         for second in &call.attempts[ix + 1..] {
-            // A set-up that a silent exchange reads late had been cancelled before.
-            let late = [first, second]
-                .into_iter()
-                .any(|a| context.was_silent(&a.exchange, call.requested_at, second.at));
             let overlaps = first.end.is_none_or(|end| second.at < end - TOLERANCE_S);
-            if overlaps && !late {
+            if overlaps {
                 let details = format!(
                     "attempts pending at {} and at {} at the same time",
                     first.exchange, second.exchange
@@ -121,15 +117,12 @@
     breach(ATTEMPTS, call, excess_attempt.at, format!("{} attempts", call.attempts.len()))
 }
 
-fn pause(call: &CallHistory, context: &TrialContext, parameters: &DeploymentParameters) -> Option<Breach> {
+fn pause(call: &CallHistory, parameters: &DeploymentParameters) -> Option<Breach> {
     for pair in call.attempts.windows(2) {
         let [first, second] = pair else { continue };
         let Some(end) = first.end.filter(|_| first.requires_pause) else { continue };
-        let was_silent = [first, second]
-            .into_iter()
-            .any(|a| context.was_silent(&a.exchange, call.requested_at, second.at));
         let waited = second.at - end;
-        if waited < parameters.release_pause_s - TOLERANCE_S && !was_silent {
+        if waited < parameters.release_pause_s - TOLERANCE_S {
             return breach(PAUSE, call, second.at, format!("sent again after {waited:.3} s"));
         }
     }
@@ -138,9 +131,10 @@
 
 fn sent_after_answer(call: &CallHistory, context: &TrialContext) -> Option<Breach> {
     let (answered, ..) = call.answer()?;
+    // What the network held back was sent before (WIRE, 'Rules', 1, is about sending).
     let late = |attempt: &&Attempt| {
         attempt.at > answered + TOLERANCE_S
-            && !context.was_silent(&attempt.exchange, call.requested_at, attempt.at)
+            && !context.was_network_disturbed(&attempt.exchange, call.requested_at, attempt.at)
     };
     let late = call.attempts.iter().find(late)?;
     breach(
@@ -159,7 +153,8 @@
 ) -> Option<Breach> {
     let informed_at = context.considered_informed_at(call.proxy, &attempt.exchange)?;
     let late = attempt.at - informed_at - parameters.drain_grace_s - TOLERANCE_S;
-    if late <= 0.0 || context.was_silent(&attempt.exchange, informed_at, attempt.at) {
+    // A send is counted from its first byte (PROTOCOL, 'Figures'), which the network may have held back.
+    if late <= 0.0 || context.was_network_disturbed(&attempt.exchange, informed_at, attempt.at) {
         return None;
     }
     let details = format!(
@@ -185,7 +180,10 @@
 }
 
 fn release(call: &CallHistory, context: &TrialContext) -> Option<Breach> {
-    let sent = call.first(|observation| *observation == Observation::ReleaseSent)?;
+    let release = call.entries.iter().find(|entry| entry.observation == Observation::ReleaseSent)?;
+    // While the network holds it back no release can be sent: then the 8 s count, and the second from its arrival
+    // (PROTOCOL, 'The rules on sockets').
+    let sent = context.delivered_by(&release.observer, release.at);
     let due_at = sent + RELEASE_LIMIT_S + TOLERANCE_S;
     if release_received_at(call) <= due_at || !is_release_due(call, context, sent - CLOSE_CROSSING_S, due_at)
     {
--- a/crates/soak/src/judge/mod.rs
+++ b/crates/soak/src/judge/mod.rs
@@ -147,7 +147,7 @@
     }
     let mut verdict = Verdict::default();
     for (id, entries) in calls {
-        let Some(call) = CallHistory::from_entries(id, entries) else { continue };
+        let Some(call) = CallHistory::from_entries(id, entries, &context) else { continue };
         if context.overlaps_stall(&call) {
             verdict.not_judged += 1;
             continue;
--- a/crates/soak/src/judge/view.rs
+++ b/crates/soak/src/judge/view.rs
@@ -40,9 +40,10 @@
 pub struct Attempt {
     /// Name of the exchange.
     pub exchange: String,
-    /// Time at which the exchange had read the complete set-up.
+    /// Time at which the complete set-up had reached the exchange, which may have read it later.
     pub at: f64,
-    /// Time at which the answer was written or the set-up was cancelled.
+    /// Time at which the exchange had written its answer, or had read the cancel or the end of the connection, or at
+    /// which its process ended.
     pub end: Option<f64>,
     /// Whether the attempt ended by a cancel or a reset (504), so that a pause has to follow its end.
     pub requires_pause: bool,
@@ -67,12 +68,16 @@
 
 impl<'a> CallHistory<'a> {
     /// Builds the history of one call; `None` if no caller requested it.
-    pub fn from_entries(id: &'a str, entries: Vec<&'a Entry>) -> Option<CallHistory<'a>> {
+    pub fn from_entries(
+        id: &'a str,
+        entries: Vec<&'a Entry>,
+        context: &TrialContext,
+    ) -> Option<CallHistory<'a>> {
         let is_request = |entry: &&&'a Entry| matches!(entry.observation, Observation::Requested { .. });
         let last = entries.iter().rfind(is_request)?;
         let Observation::Requested { deadline } = last.observation else { return None };
         let (proxy, requested_at) = (last.proxy, last.at);
-        let attempts = attempts(&entries);
+        let attempts = attempts(&entries, context);
         Some(CallHistory { id, proxy, entries, requested_at, deadline, attempts })
     }
 
@@ -90,31 +95,52 @@
     }
 }
 
-fn attempts(entries: &[&Entry]) -> Vec<Attempt> {
+fn attempts(entries: &[&Entry], context: &TrialContext) -> Vec<Attempt> {
     let mut attempts: Vec<Attempt> = Vec::new();
+    // Set-ups that have arrived and are not read yet, by exchange.
+    let mut unread: BTreeMap<&str, usize> = BTreeMap::new();
     for entry in entries {
+        let exchange = entry.observer.as_str();
         let requires_pause = match &entry.observation {
+            Observation::SetUpArrived => {
+                *unread.entry(exchange).or_default() += 1;
+                attempts.push(Attempt::started(exchange, entry.at, context));
+                continue;
+            }
             Observation::SetUpReceived { .. } => {
-                let (exchange, at) = (entry.observer.clone(), entry.at);
-                attempts.push(Attempt { exchange, at, end: None, requires_pause: false });
+                match unread.get_mut(exchange).filter(|n| **n > 0) {
+                    Some(n) => *n -= 1,
+                    None => attempts.push(Attempt::started(exchange, entry.at, context)),
+                }
                 continue;
             }
             Observation::SetUpAnswered { status, .. } => *status == 504,
             Observation::SetUpCancelled => true,
             _ => continue,
         };
-        let open = attempts.iter_mut().rev().find(|a| a.exchange == entry.observer && a.end.is_none());
-        if let Some(attempt) = open {
+        let is_open = |a: &&mut Attempt| a.exchange == exchange && a.end.is_none_or(|end| end > entry.at);
+        if let Some(attempt) = attempts.iter_mut().find(is_open) {
             (attempt.end, attempt.requires_pause) = (Some(entry.at), requires_pause);
         }
     }
     attempts
 }
 
+impl Attempt {
+    /// An attempt that lasts until the process of its exchange ends, unless something ends it before.
+    fn started(exchange: &str, at: f64, context: &TrialContext) -> Attempt {
+        let end = context.process_end_after(exchange, at);
+        Attempt { exchange: exchange.to_owned(), at, end, requires_pause: end.is_some() }
+    }
+}
+
 /// Conditions around the calls of a trial.
 #[derive(Debug, Default)]
 pub struct TrialContext {
-    silent_spans: BTreeMap<String, Vec<Span>>,
+    /// Spans in which the network to an exchange was disturbed.
+    disturbed_spans: BTreeMap<String, Vec<Span>>,
+    /// Times at which the process of an exchange ended.
+    process_ends: BTreeMap<String, Vec<f64>>,
     caller_spans: BTreeMap<usize, Vec<Span>>,
     stalls: Vec<Span>,
     terminated: BTreeMap<usize, Vec<f64>>,
@@ -132,7 +158,7 @@
     pub fn from_entries(entries: &[Entry]) -> TrialContext {
         let mut context = TrialContext::default();
         let mut connected_since: BTreeMap<(usize, &str), f64> = BTreeMap::new();
-        let mut silent_since: BTreeMap<&str, f64> = BTreeMap::new();
+        let mut disturbed_since: BTreeMap<&str, f64> = BTreeMap::new();
         let end = entries.last().map_or(0.0, |entry| entry.at);
         for entry in entries {
             let Entry { at, observer, proxy, .. } = entry;
@@ -143,11 +169,14 @@
                         context.caller_spans.entry(*proxy).or_default().push(Span { from, to: *at });
                     }
                 }
-                Observation::Silent => drop(silent_since.entry(observer).or_insert(*at)),
-                Observation::Working => {
-                    if let Some(from) = silent_since.remove(observer.as_str()) {
+                Observation::ProcessGone => {
+                    context.process_ends.entry(observer.clone()).or_default().push(*at)
+                }
+                Observation::LinkDisturbed => drop(disturbed_since.entry(observer).or_insert(*at)),
+                Observation::LinkRestored => {
+                    if let Some(from) = disturbed_since.remove(observer.as_str()) {
                         context
-                            .silent_spans
+                            .disturbed_spans
                             .entry(observer.clone())
                             .or_default()
                             .push(Span { from, to: *at });
@@ -173,8 +202,8 @@
         for ((proxy, _), from) in connected_since {
             context.caller_spans.entry(proxy).or_default().push(Span { from, to: end });
         }
-        for (observer, from) in silent_since {
-            context.silent_spans.entry(observer.to_owned()).or_default().push(Span { from, to: end });
+        for (observer, from) in disturbed_since {
+            context.disturbed_spans.entry(observer.to_owned()).or_default().push(Span { from, to: end });
         }
         context
     }
@@ -186,9 +215,23 @@
         self.stalls.iter().any(|span| span.overlaps(call.requested_at, last + 1.0))
     }
 
-    /// Returns whether an exchange was silent at any time within a span.
-    pub fn was_silent(&self, exchange: &str, from: f64, to: f64) -> bool {
-        self.silent_spans.get(exchange).is_some_and(|spans| spans.iter().any(|span| span.overlaps(from, to)))
+    /// Returns whether the network held back or delayed what was sent to an exchange or by it, at any time in a span.
+    pub fn was_network_disturbed(&self, exchange: &str, from: f64, to: f64) -> bool {
+        self.disturbed_spans
+            .get(exchange)
+            .is_some_and(|spans| spans.iter().any(|span| span.overlaps(from, to)))
+    }
+
+    /// Returns when the network has delivered what an exchange sent at a given time, at the latest.
+    pub fn delivered_by(&self, exchange: &str, sent: f64) -> f64 {
+        let spans = self.disturbed_spans.get(exchange).into_iter().flatten();
+        spans.filter(|span| span.overlaps(sent, sent)).map(|span| span.to).fold(sent, f64::max)
+    }
+
+    /// Returns the time at which the process of an exchange ended next.
+    fn process_end_after(&self, exchange: &str, at: f64) -> Option<f64> {
+        let ends = self.process_ends.get(exchange).into_iter().flatten().copied();
+        ends.filter(|end| *end >= at).reduce(f64::min)
     }
 
     /// Returns whether one caller connection to the proxy was open throughout a span.
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -63,6 +63,8 @@
     pub exchange_rate: f64,
     /// Number of callers of each proxy.
     pub callers: usize,
+    /// Whether a relay stands between the proxies and each exchange.
+    pub relayed: bool,
     /// Calls in chronological order.
     pub calls: Vec<PlannedCall>,
     /// Faults in chronological order.
@@ -96,6 +98,7 @@
             memory_mb: [32, 48, 192][rng.random_range(0..3)],
             exchange_rate: 40.0,
             callers: rng.random_range(1..=6),
+            relayed: rng.random_range(0..2) == 0,
             calls: Vec::new(),
             faults: Vec::new(),
         };
@@ -142,10 +145,14 @@
 
     /// Draws bursts of one to four faults, which may overlap.
     fn draw_faults(&self, rng: &mut Pcg64Mcg, options: &Options) -> Vec<PlannedFault> {
-        let kinds: Vec<FaultKind> = match options.only.is_empty() {
+        let mut kinds: Vec<FaultKind> = match options.only.is_empty() {
             true => FaultKind::ALL.to_vec(),
             false => options.only.clone(),
         };
+        kinds.retain(|kind| self.relayed || !kind.needs_relay());
+        if kinds.is_empty() {
+            return Vec::new();
+        }
         let mut faults = Vec::new();
         let mut burst_start: f64 = rng.random_range(1.0..3.0);
         while burst_start < self.seconds - 1.0 {
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -89,9 +89,11 @@
 
 /// Returns the schedule of a plan as text.
 pub fn timeline(plan: &Plan) -> String {
+    let relayed = if plan.relayed { " behind relays" } else { "" };
     let mut text = format!(
-        "seed {}: {} proxies, {} exchanges, {:.1} s of load, {} calls, callers wait {} s at most, {} descriptors, {} MB\n",
-        plan.seed, plan.proxies, plan.exchanges, plan.seconds, plan.calls.len(), plan.give_up, plan.descriptors,
+        "seed {}: {} proxies, {} exchanges{}, {:.1} s of load, {} calls, callers wait {} s at most, {} descriptors, \
+         {} MB\n",
+        plan.seed, plan.proxies, plan.exchanges, relayed, plan.seconds, plan.calls.len(), plan.give_up, plan.descriptors,
         plan.memory_mb
     );
     for fault in &plan.faults {
--- a/crates/soak/src/trial/faults.rs
+++ b/crates/soak/src/trial/faults.rs
@@ -4,6 +4,8 @@
 
 use mallowring_standin::discovery::Lifecycle;
 use mallowring_standin::exchange::{Exchange, Misbehaviour};
+use mallowring_standin::record::Observation;
+use mallowring_standin::relay::Link;
 use mallowring_standin::sleep;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
@@ -17,6 +19,10 @@
 const CROWD_CONNECTIONS: usize = 150;
 /// Time in seconds that each connection of a crowd stays open.
 const CROWD_HOLD_S: f64 = 3.0;
+/// Longest time in seconds that an exchange reads late.
+const LONGEST_READ_DELAY_S: f64 = 0.6;
+/// Longest delay in seconds of a slow network, in each direction.
+const LONGEST_NETWORK_DELAY_S: f64 = 0.4;
 /// Delay in seconds until discovery publishes a process that has replaced another.
 const ROSTER_DELAY_S: f64 = 1.5;
 
@@ -36,9 +42,14 @@
             FaultKind::AnswersLate
             | FaultKind::AnswersTwice
             | FaultKind::AnswersSpoilt
+            | FaultKind::ReadsLate
             | FaultKind::Pieces
             | FaultKind::AcceptsLate
             | FaultKind::ReleasesElsewhere => self.misbehave(&fault).await,
+            FaultKind::CutToExchange | FaultKind::CutFromExchange | FaultKind::SlowNetwork => {
+                self.disturb_links(&fault).await
+            }
+            FaultKind::Stop => self.proxies[fault.target].stop_for(fault.duration_s).await,
             FaultKind::Reset | FaultKind::Close | FaultKind::SilentConnection => {
                 self.disturb_connections(&fault)
             }
@@ -170,6 +181,10 @@
                 Misbehaviour { answer_delay: self.plan.give_up * 0.7, ..no_misbehaviour }
             }
             FaultKind::AnswersTwice => Misbehaviour { duplicate_answers: true, ..no_misbehaviour },
+            FaultKind::ReadsLate => {
+                let read_delay = self.variation(fault, LONGEST_READ_DELAY_S);
+                Misbehaviour { read_delay, ..no_misbehaviour }
+            }
             FaultKind::AnswersSpoilt => Misbehaviour { malformed_answers: true, ..no_misbehaviour },
             FaultKind::Pieces => Misbehaviour { fragmented_writes: true, ..no_misbehaviour },
             FaultKind::AcceptsLate => Misbehaviour { accept_delay: 0.8, ..no_misbehaviour },
@@ -179,6 +194,36 @@
         exchange.set_misbehaviour(no_misbehaviour);
     }
 
+    /// Returns a value between a tenth of `most` and `most` that the plan determines.
+    fn variation(&self, fault: &PlannedFault, most: f64) -> f64 {
+        most * (0.1 + 0.9 * (fault.at * 7.0).fract())
+    }
+
+    /// Disturbs the network between all proxies and an exchange.
+    async fn disturb_links(&self, fault: &PlannedFault) {
+        let exchange = self.exchanges.borrow()[fault.target].clone();
+        let cut = Link { cut: true, delay: 0.0 };
+        let slow = Link { cut: false, delay: self.variation(fault, LONGEST_NETWORK_DELAY_S) };
+        let (to_exchange, to_proxy) = match fault.kind {
+            FaultKind::CutToExchange => (cut, Link::default()),
+            FaultKind::CutFromExchange => (Link::default(), cut),
+            _ => (slow, slow),
+        };
+        self.set_links(&exchange, (to_exchange, to_proxy));
+        self.record.add(exchange.name(), 0, "", Observation::LinkDisturbed);
+        sleep(fault.duration_s).await;
+        self.set_links(&exchange, (Link::default(), Link::default()));
+        self.record.add(exchange.name(), 0, "", Observation::LinkRestored);
+    }
+
+    fn set_links(&self, exchange: &Exchange, (to_exchange, to_proxy): (Link, Link)) {
+        for proxy in 0..self.plan.proxies {
+            if let Some(relay) = self.relays.borrow().get(&exchange.addr(proxy)) {
+                relay.set_links(to_exchange, to_proxy);
+            }
+        }
+    }
+
     fn disturb_connections(&self, fault: &PlannedFault) {
         let exchange = self.exchanges.borrow()[fault.target].clone();
         for proxy in 0..self.plan.proxies {
--- a/crates/soak/src/trial/mod.rs
+++ b/crates/soak/src/trial/mod.rs
@@ -6,8 +6,9 @@
 mod watch;
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 
@@ -16,6 +17,7 @@
 use mallowring_standin::exchange::Exchange;
 use mallowring_standin::proxy::ProxyConfig;
 use mallowring_standin::record::{now, Entry, Record};
+use mallowring_standin::relay::Relay;
 use mallowring_standin::{run, sleep, Executor};
 use proxies::SupervisedProxy;
 
@@ -54,6 +56,8 @@
     changing_exchanges: RefCell<BTreeSet<usize>>,
     next_id: Cell<u64>,
     discoveries: Vec<Discovery>,
+    /// The relays, by the address of the exchange that each leads to; none if the plan has no relays.
+    relays: RefCell<BTreeMap<SocketAddr, Relay>>,
     proxies: Vec<SupervisedProxy>,
     pools: Vec<CallerPool>,
     coverage: RefCell<Coverage>,
@@ -102,10 +106,15 @@
             let number = FIRST_EXCHANGE_NUMBER + ix as i64;
             exchanges.push(Exchange::start(&executor, &record, &format!("s{ix}"), number, plan.proxies)?);
         }
+        let mut relays = BTreeMap::new();
         let (mut discoveries, mut proxies) = (Vec::new(), Vec::new());
         for proxy in 0..plan.proxies {
-            let full_roster: Vec<RosterEntry> =
-                exchanges.iter().map(|e| roster_entry(e, proxy, Lifecycle::Ready, 0)).collect();
+            let mut full_roster = Vec::new();
+            for exchange in &exchanges {
+                let addr = exchange.addr(proxy);
+                let addr = if plan.relayed { relay_to(&executor, &mut relays, addr)? } else { addr };
+                full_roster.push(roster_entry(exchange, addr, Lifecycle::Ready, 0));
+            }
             let discovery = Discovery::start(&executor, &record, proxy, &full_roster)?;
             let mut config = ProxyConfig::new(&format!("n{proxy}"), proxy as i64, plan.proxies);
             config.give_up = plan.give_up;
@@ -122,6 +131,7 @@
             changing_exchanges: RefCell::default(),
             next_id: Cell::new(0),
             discoveries,
+            relays: RefCell::new(relays),
             proxies,
             pools,
             coverage: RefCell::default(),
@@ -158,6 +168,15 @@
         self.proxies.iter().for_each(SupervisedProxy::end);
     }
 
+    /// Returns the address at which a proxy reaches an exchange: its own, or that of the relay in front of it.
+    fn published_addr(&self, exchange: &Exchange, proxy: usize) -> SocketAddr {
+        let addr = exchange.addr(proxy);
+        if !self.plan.relayed {
+            return addr;
+        }
+        relay_to(&self.executor, &mut self.relays.borrow_mut(), addr).unwrap_or(addr)
+    }
+
     async fn sleep_until(&self, at: f64) {
         sleep(self.load_started_at.get() + at - now()).await;
     }
@@ -167,21 +186,37 @@
         for (proxy, discovery) in self.discoveries.iter().enumerate() {
             let roster_entries: Vec<RosterEntry> = entries
                 .iter()
-                .map(|(exchange, lifecycle, at)| roster_entry(exchange, proxy, *lifecycle, *at))
+                .map(|(exchange, lifecycle, at)| {
+                    roster_entry(exchange, self.published_addr(exchange, proxy), *lifecycle, *at)
+                })
                 .collect();
             discovery.publish(false, &roster_entries);
         }
     }
 }
 
-fn roster_entry(exchange: &Exchange, proxy: usize, lifecycle: Lifecycle, started_at_ms: u64) -> RosterEntry {
-    RosterEntry {
-        id: exchange.name().to_owned(),
-        number: exchange.number(),
-        addr: exchange.addr(proxy),
-        lifecycle,
-        started_at_ms,
+/// Returns the address of the relay to an address of an exchange, and starts the relay if there is none.
+fn relay_to(
+    executor: &Executor,
+    relays: &mut BTreeMap<SocketAddr, Relay>,
+    target: SocketAddr,
+) -> io::Result<SocketAddr> {
+    if let Some(relay) = relays.get(&target) {
+        return Ok(relay.addr());
     }
+    let relay = Relay::start(executor, target)?;
+    let addr = relay.addr();
+    relays.insert(target, relay);
+    Ok(addr)
+}
+
+fn roster_entry(
+    exchange: &Exchange,
+    addr: SocketAddr,
+    lifecycle: Lifecycle,
+    started_at_ms: u64,
+) -> RosterEntry {
+    RosterEntry { id: exchange.name().to_owned(), number: exchange.number(), addr, lifecycle, started_at_ms }
 }
 
 fn unix_ms() -> u64 {
--- a/crates/soak/src/trial/proxies.rs
+++ b/crates/soak/src/trial/proxies.rs
@@ -128,6 +128,17 @@
         self.restart(discovery).await;
     }
 
+    /// Stops the process for a time in seconds. A process that is to end is left alone.
+    pub async fn stop_for(&self, seconds: f64) {
+        if self.process_state.get() != ProcessState::Running {
+            return;
+        }
+        self.proxy.borrow().signal(Signal::STOP);
+        sleep(seconds).await;
+        // Another process may run by now; to continue it changes nothing.
+        self.proxy.borrow().signal(Signal::CONT);
+    }
+
     /// Sends SIGKILL without SIGTERM; then starts another process.
     pub async fn kill(&self, discovery: &Discovery) {
         if self.process_state.get() == ProcessState::Running {
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -199,6 +199,50 @@
     assert_breaks_only("sent after the answer", sent(0.55 + MILLISECOND_S));
 }
 
+/// Guards against an excuse for exchanges that read late or are silent: an attempt is out from its arrival until its
+/// exchange has read the cancel.
+#[test]
+fn an_attempt_is_out_until_its_exchange_has_read_the_cancel() {
+    let second = |at: f64| {
+        vec![
+            requested(),
+            exchange(0.01, Observation::SetUpArrived),
+            entry(0.02, "s1", "", Observation::Silent),
+            exchange(0.4, set_up()),
+            exchange(0.8, Observation::SetUpCancelled),
+            entry(at, "s2", CALL, Observation::SetUpArrived),
+            entry(at + 0.3, "s2", CALL, set_up()),
+            entry(at + 0.4, "s2", CALL, set_up_ended(503)),
+            caller(at + 0.45, answered(503)),
+        ]
+    };
+    assert_keeps_all(second(1.05 + MILLISECOND_S));
+    assert_breaks_only("pause", second(1.05 - MILLISECOND_S));
+    let mut rules = broken_rules(second(0.75 - MILLISECOND_S));
+    rules.sort_unstable();
+    assert_eq!(rules, ["one attempt out", "pause"]);
+    // An attempt at a process that has ended is over.
+    let mut record = second(0.7);
+    record.push(entry(0.3, "s1", "", Observation::ProcessGone));
+    assert_keeps_all(record);
+}
+
+/// Guards against a judge that asks for what the network holds back, and against one that excuses more.
+#[test]
+fn a_release_that_the_network_holds_back_counts_from_its_arrival() {
+    let released = |received_at: f64| {
+        let mut record = established_call();
+        record.push(entry(2.5, "s1", "", Observation::LinkDisturbed));
+        record.push(exchange(3.0, Observation::CallEnded));
+        record.push(exchange(3.0, Observation::ReleaseSent));
+        record.push(entry(5.0, "s1", "", Observation::LinkRestored));
+        record.push(caller(received_at, Observation::ReleaseReceived(16)));
+        record
+    };
+    assert_keeps_all(released(6.05 - MILLISECOND_S));
+    assert_breaks_only("release within 1 s", released(6.05 + MILLISECOND_S));
+}
+
 /// A call to an exchange that discovery published as draining `published` seconds before.
 fn call_to_draining_exchange(published: f64, sent: Option<f64>, reachable_again: Option<f64>) -> Vec<Entry> {
     let from_discovery = |observation| entry(0.01 - published, "discovery", "", observation);
--- a/crates/standin/src/exchange/faults.rs
+++ b/crates/standin/src/exchange/faults.rs
@@ -2,10 +2,8 @@
 
 use std::io;
 use std::net::Shutdown;
-use std::sync::Arc;
 
 use smol::net::TcpStream;
-use smol::Async;
 
 use super::{bind_again, Condition, Exchange};
 use crate::record::Observation;
@@ -33,13 +31,6 @@
     pub releases_on_other_connection: bool,
 }
 
-/// Closes a connection with a reset; the tasks that use it end when they notice.
-fn reset(stream: TcpStream) {
-    let stream: Arc<Async<std::net::TcpStream>> = stream.into();
-    listener::reset(stream.get_ref());
-    let _ = stream.get_ref().shutdown(Shutdown::Read);
-}
-
 impl Exchange {
     /// Sets the protocol faults of the exchange from now on.
     pub fn set_misbehaviour(&self, misbehaviour: Misbehaviour) {
@@ -49,6 +40,7 @@
     /// Makes the machine vanish with its calls: open connections turn silent and new connection attempts time out.
     pub fn vanish(&self) {
         self.cut_off();
+        self.record_event(Observation::ProcessGone);
         self.cut_calls();
         // Data still waiting on the old connections is never read.
         self.0.generation.set(self.0.generation.get() + 1);
@@ -58,6 +50,7 @@
     pub fn cut_off(&self) {
         self.0.condition.set(Condition::CutOff);
         self.record_event(Observation::Silent);
+        self.record_event(Observation::LinkDisturbed);
         for port in &self.0.ports {
             *port.backlog_fillers.borrow_mut() = listener::fill_backlog(port.addr);
         }
@@ -73,6 +66,7 @@
     pub fn resume(&self) {
         self.0.condition.set(Condition::Working);
         self.record_event(Observation::Working);
+        self.record_event(Observation::LinkRestored);
         for port in &self.0.ports {
             port.backlog_fillers.borrow_mut().clear();
         }
@@ -92,7 +86,7 @@
     pub fn crash(&self) {
         self.0.condition.set(Condition::Dead);
         self.record_event(Observation::Working);
-        self.end_process(reset);
+        self.end_process(listener::reset_stream);
         self.close_listeners();
     }
 
@@ -108,7 +102,7 @@
     /// Crashes the process and starts another one at once: connections are reset and calls are cut, but no connection
     /// is refused.
     pub fn restart_at_once(&self) {
-        self.end_process(reset);
+        self.end_process(listener::reset_stream);
         self.accept_on_all_ports();
     }
 
@@ -128,6 +122,7 @@
         }
         self.0.condition.set(Condition::Working);
         self.record_event(Observation::Working);
+        self.record_event(Observation::LinkRestored);
         self.accept_on_all_ports();
         Ok(())
     }
@@ -141,7 +136,7 @@
     /// Resets one connection of a proxy; returns whether there was one.
     pub fn reset_connection(&self, proxy: usize) -> bool {
         let taken = self.0.ports[proxy].connections.borrow_mut().pop_last();
-        taken.map(|(_, connection)| reset(connection.stream)).is_some()
+        taken.map(|(_, connection)| listener::reset_stream(connection.stream)).is_some()
     }
 
     /// Stops reading and writing on one connection of a proxy; returns whether one was newly silenced.
@@ -151,6 +146,7 @@
     }
 
     fn end_process(&self, close: impl Fn(TcpStream)) {
+        self.record_event(Observation::ProcessGone);
         self.cut_calls();
         self.0.generation.set(self.0.generation.get() + 1);
         self.0.reset_below_generation.set(self.0.generation.get());
--- a/crates/standin/src/exchange/mod.rs
+++ b/crates/standin/src/exchange/mod.rs
@@ -246,6 +246,7 @@
 
     async fn serve(&self, port_index: usize, stream: TcpStream, generation: u64) {
         let _ = stream.set_nodelay(true);
+        let arrivals = self.receive_ahead(port_index, stream.clone(), generation);
         sleep(self.0.misbehaviour.get().accept_delay).await;
         self.wait_until_working(generation).await;
         if self.0.generation.get() != generation {
@@ -264,11 +265,16 @@
             self.record_call_event(port_index, &call_id_of(&message), Observation::ReleaseSent);
             self.write(port_index, connection, &message);
         }
-        self.read_messages(port_index, connection, stream, generation).await;
+        self.handle_arrivals(port_index, connection, arrivals, generation).await;
     }
 
-    async fn read_messages(&self, port_index: usize, connection: u64, stream: TcpStream, generation: u64) {
-        let mut arrivals = self.receive_ahead(port_index, stream, generation);
+    async fn handle_arrivals(
+        &self,
+        port_index: usize,
+        connection: u64,
+        mut arrivals: impl Stream<Item = (f64, Message)> + Unpin,
+        generation: u64,
+    ) {
         while let Some((arrived_at, message)) = arrivals.next().await {
             sleep(arrived_at + self.0.misbehaviour.get().read_delay - now()).await;
             self.wait_until_working(generation).await;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod messages;
 pub mod proxy;
 pub mod record;
+pub mod relay;
 
 use std::rc::Rc;
 
--- a/crates/standin/src/listener.rs
+++ b/crates/standin/src/listener.rs
@@ -1,7 +1,8 @@
 //! Listening sockets whose backlog can be filled, so that new connections time out as on an unreachable machine.
 
-use std::net::{SocketAddr, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::os::fd::OwnedFd;
+use std::sync::Arc;
 
 use smol::net::TcpListener;
 use smol::Async;
@@ -35,7 +36,9 @@
     (0..FILLER_CONNECTIONS).filter_map(connect).collect()
 }
 
-/// Makes the close of a connection send a reset to the peer.
-pub fn reset(stream: &TcpStream) {
-    let _ = socket2::SockRef::from(stream).set_linger(Some(std::time::Duration::ZERO));
+/// Closes a connection with a reset; the tasks that use it end when they notice.
+pub fn reset_stream(stream: smol::net::TcpStream) {
+    let stream: Arc<Async<TcpStream>> = stream.into();
+    let _ = socket2::SockRef::from(stream.get_ref()).set_linger(Some(std::time::Duration::ZERO));
+    let _ = stream.get_ref().shutdown(Shutdown::Read);
 }
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -60,6 +60,12 @@
     Silent,
     /// A silent exchange works again, or its process has ended.
     Working,
+    /// The process of an exchange has ended, or its machine has vanished, with all set-ups and calls.
+    ProcessGone,
+    /// The network to an exchange began to hold back or delay messages.
+    LinkDisturbed,
+    /// The network to an exchange works again.
+    LinkRestored,
     /// An exchange started a new process, which is cold.
     StartedCold,
     /// Discovery has a new state of an exchange, whether or not it has sent it to a proxy.
