Soak: releases no longer go to the trial's own filler connections; requests after a kill

Cause: the trial itself. A cut is simulated by filling the backlog of the listener with connections of the test process. At the end of the cut the exchange accepted these, took the first for 'the next connection to be opened', and wrote the repeated releases on it, so they could not reach any proxy. Fillers are no longer served.

--- a/crates/soak/src/judge/calls.rs
+++ b/crates/soak/src/judge/calls.rs
@@ -41,6 +41,10 @@
     if call.first(|observation| *observation == Observation::GaveUp).is_some_and(|at| at <= limit) {
         return None;
     }
+    // Nobody had taken it (PROTOCOL, 'The rules on sockets': a request is taken once it is written to a connection).
+    if context.was_killed_before(call.proxy, call.requested_at) {
+        return None;
+    }
     let end = context.proxy_end_after(call.proxy, call.requested_at).filter(|end| *end <= limit);
     if let Some(end) = end {
         if context.kill_excuses_missing_answer(call.proxy, call.requested_at, end) {
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -116,6 +116,24 @@
     assert_keeps_all(ended(-MILLISECOND_S, Observation::Killed));
     assert_breaks_only("answer", ended(MILLISECOND_S, Observation::Killed));
     assert_breaks_only("answer", ended(-MILLISECOND_S, Observation::ProxyEnded { clean: true }));
+    // The SIGTERM of an earlier process says nothing about one that is killed outright.
+    let mut killed_outright = ended(1.0, Observation::Killed);
+    killed_outright.push(trial(0.5, Observation::ProxyStarted));
+    killed_outright.push(trial(0.6, Observation::ProxyReady));
+    assert_keeps_all(killed_outright);
+    // A request that was written after the kill met no process; one to the next process is due.
+    let after_kill = |started_at| {
+        vec![
+            trial(-9.0, Observation::ProxyStarted),
+            trial(-8.0, Observation::ProxyReady),
+            trial(-MILLISECOND_S, Observation::Killed),
+            trial(started_at, Observation::ProxyStarted),
+            trial(started_at + 0.1, Observation::ProxyReady),
+            requested(),
+        ]
+    };
+    assert_keeps_all(after_kill(MILLISECOND_S));
+    assert_breaks_only("answer", after_kill(-MILLISECOND_S / 2.0));
 }
 
 #[test]
--- a/crates/standin/src/exchange/faults.rs
+++ b/crates/standin/src/exchange/faults.rs
@@ -52,7 +52,7 @@
         self.record_event(Observation::Silent);
         self.record_event(Observation::LinkDisturbed);
         for port in &self.0.ports {
-            *port.backlog_fillers.borrow_mut() = listener::fill_backlog(port.addr);
+            port.backlog.borrow_mut().fill(port.addr);
         }
     }
 
@@ -68,7 +68,7 @@
         self.record_event(Observation::Working);
         self.record_event(Observation::LinkRestored);
         for port in &self.0.ports {
-            port.backlog_fillers.borrow_mut().clear();
+            port.backlog.borrow_mut().release();
         }
         let exchange = self.clone();
         let sending = async move {
@@ -112,7 +112,7 @@
         self.0.generation.set(self.0.generation.get() + 1);
         for port in &self.0.ports {
             port.connections.borrow_mut().clear();
-            port.backlog_fillers.borrow_mut().clear();
+            port.backlog.borrow_mut().release();
             port.releases_for_next_connection.borrow_mut().clear();
             port.circuits_used.set(0);
             if port.listener.borrow().is_none() {
@@ -159,7 +159,7 @@
     fn close_listeners(&self) {
         for port in &self.0.ports {
             port.listener.borrow_mut().take();
-            port.backlog_fillers.borrow_mut().clear();
+            port.backlog.borrow_mut().release();
         }
     }
 }
--- a/crates/standin/src/exchange/mod.rs
+++ b/crates/standin/src/exchange/mod.rs
@@ -18,8 +18,8 @@
 use smol::io::AsyncWriteExt;
 use smol::net::{TcpListener, TcpStream};
 use smol::stream::{Stream, StreamExt};
-use socket2::Socket;
 
+use crate::listener::Backlog;
 use crate::messages::{self, call_id_of, MessageReader};
 use crate::record::{now, Observation, Record};
 use crate::{listener, sleep, Executor};
@@ -58,8 +58,7 @@
     addr: SocketAddr,
     listener: RefCell<Option<TcpListener>>,
     connections: RefCell<BTreeMap<u64, Connection>>,
-    /// Connections of the test process that fill the backlog of the listener.
-    backlog_fillers: RefCell<Vec<Socket>>,
+    backlog: RefCell<Backlog>,
     /// Releases to send on the next connection to be opened.
     releases_for_next_connection: RefCell<Vec<Message>>,
     /// Releases that could not be sent while the machine was down.
@@ -125,7 +124,7 @@
                 addr: listener.local_addr()?,
                 listener: RefCell::new(Some(listener)),
                 connections: RefCell::default(),
-                backlog_fillers: RefCell::default(),
+                backlog: RefCell::default(),
                 releases_for_next_connection: RefCell::default(),
                 delayed_releases: RefCell::default(),
                 circuits_used: Cell::new(0),
@@ -217,10 +216,13 @@
                 None
             });
             let Some((stream, _)) = accepted.await else { return };
+            if self.0.ports[port_index].backlog.borrow().is_filler(&stream) {
+                continue;
+            }
             let exchange = self.clone();
             let serving = async move { exchange.serve(port_index, stream, generation).await };
             self.0.executor.spawn(serving).detach();
-            self.wait_until_working(generation).await;
+            self.wait_until_reachable(generation).await;
         }
     }
 
--- a/crates/standin/src/listener.rs
+++ b/crates/standin/src/listener.rs
@@ -1,5 +1,6 @@
 //! Listening sockets whose backlog can be filled, so that new connections time out as on an unreachable machine.
 
+use std::collections::BTreeSet;
 use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::os::fd::OwnedFd;
 use std::sync::Arc;
@@ -10,7 +11,7 @@
 
 /// Length of the listen backlog; small, so that a few connections of the test process fill it.
 const BACKLOG: i32 = 8;
-/// Connections that [`fill_backlog`] opens: more than the backlog holds.
+/// Connections that [`Backlog::fill`] opens: more than the backlog holds.
 const FILLER_CONNECTIONS: usize = 3 * BACKLOG as usize;
 
 /// Binds and listens on a local address; port 0 selects a free port.
@@ -23,17 +24,38 @@
     Ok(Async::new(listener)?.into())
 }
 
-/// Fills the backlog of a listener that nobody accepts from, so that the kernel drops further connection requests.
-/// New connections succeed again once the returned sockets are dropped and the backlog is drained.
-pub fn fill_backlog(addr: SocketAddr) -> Vec<Socket> {
-    let connect = |_| {
-        let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None).ok()?;
-        socket.set_nonblocking(true).ok()?;
-        // A non-blocking connect reports an error while it is in progress; whether it completes does not matter.
-        let _ = socket.connect(&addr.into());
-        Some(socket)
-    };
-    (0..FILLER_CONNECTIONS).filter_map(connect).collect()
+/// The backlog of a listener that nobody accepts from. While it is filled, the kernel drops connection requests.
+#[derive(Debug, Default)]
+pub struct Backlog {
+    fillers: Vec<Socket>,
+    /// Addresses of the fillers, which are still accepted after they were closed.
+    filler_addrs: BTreeSet<SocketAddr>,
+}
+
+impl Backlog {
+    /// Fills the backlog of the listener at an address with connections of this process.
+    pub fn fill(&mut self, addr: SocketAddr) {
+        let connect = |_| {
+            let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None).ok()?;
+            socket.set_nonblocking(true).ok()?;
+            // A non-blocking connect reports an error while it is in progress; whether it completes does not matter.
+            let _ = socket.connect(&addr.into());
+            Some(socket)
+        };
+        self.fillers = (0..FILLER_CONNECTIONS).filter_map(connect).collect();
+        let local_addrs = self.fillers.iter().filter_map(|socket| socket.local_addr().ok()?.as_socket());
+        self.filler_addrs.extend(local_addrs);
+    }
+
+    /// Closes the fillers. New connections succeed again once the backlog is drained.
+    pub fn release(&mut self) {
+        self.fillers.clear();
+    }
+
+    /// Whether an accepted connection is a filler, which must not be served.
+    pub fn is_filler(&self, accepted: &smol::net::TcpStream) -> bool {
+        accepted.peer_addr().is_ok_and(|addr| self.filler_addrs.contains(&addr))
+    }
 }
 
 /// Closes a connection with a reset; the tasks that use it end when they notice.
