A connection that this proxy gives up is no longer taken for one closed by its peer

When a send queue was too long or a write failed, the proxy shut the socket down, its own reader saw the end of the stream, and reported 'closed by the peer': the failure detector took that as proof that the exchange was alive, and set-ups pending there were not released at the exchange.

--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -43,6 +43,8 @@
 pub enum CloseReason {
     /// The peer closed it in order.
     Closed,
+    /// This proxy closed it, as the peer read too slowly or a write failed.
+    ClosedLocally,
     /// An I/O error, such as a reset.
     Broken(io::Error),
     /// The end of a message in the byte stream could not be determined.
@@ -62,7 +64,7 @@
     carries_calls: Cell<bool>,
     /// Only the write half is to be closed; the read half stays open.
     half_closing: Cell<bool>,
-    /// The connection was aborted, and its bytes no longer count.
+    /// This proxy has closed the connection without sending everything. Its bytes no longer count.
     aborted: Cell<bool>,
 }
 
@@ -182,7 +184,8 @@
         let number = send_queues.register(&send_queue);
         let (wake, wake_ups) = bounded(1);
         tasks.spawn(write(send_queues.clone(), send_queue.clone(), wake_ups)).detach();
-        tasks.spawn(async move { read(stream, mailbox, message_timeout, wrap).await }).detach();
+        let reading = send_queue.clone();
+        tasks.spawn(async move { read(stream, &reading, mailbox, message_timeout, wrap).await }).detach();
         ConnectionHandle { send_queues: send_queues.clone(), send_queue, number, wake }
     }
 
@@ -235,6 +238,7 @@
         if written.is_err() {
             let pending = std::mem::take(&mut *send_queue.pending.borrow_mut()).len();
             send_queues.adjust(&send_queue, 0, pending);
+            send_queue.aborted.set(true);
             // The connection has failed: later writes are refused.
             wake_ups.close();
             break;
@@ -254,6 +258,7 @@
 /// The reader: frames the byte stream and sends each message to the owner's mailbox.
 async fn read<M>(
     stream: TcpStream,
+    send_queue: &SendQueue,
     mailbox: Sender<M>,
     message_timeout: Duration,
     wrap: impl Fn(ConnectionEvent) -> M,
@@ -271,6 +276,7 @@
             }
         };
         match received {
+            Ok(0) if send_queue.aborted.get() => break CloseReason::ClosedLocally,
             Ok(0) => break CloseReason::Closed,
             Ok(_) => {}
             Err(error) if message_started.is_some() && error.kind() == io::ErrorKind::TimedOut => {
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -353,7 +353,7 @@
     }
 
     async fn connection_ended(&mut self, connection_id: u64, reason: CloseReason) {
-        if !matches!(reason, CloseReason::Closed | CloseReason::Broken(_)) {
+        if !matches!(reason, CloseReason::Closed | CloseReason::ClosedLocally | CloseReason::Broken(_)) {
             tracing::warn!(over = ?reason, "connection of a caller failed");
         }
         self.close(connection_id).await;
