Keep connections to an exchange that is silent on all of them while calls stand there

What callers saw: calls were told late, some never within 8 s, after the network held back what their exchange sent, or after it hung.

Cause: while an exchange was not heard, each connection was replaced when a set-up on it timed out, and the connections opened to verify it were closed after 1.2 s. Releases that the exchange wrote on the old connections, and the copies on the next one to be opened, were both thrown away; the exchange's later messages then renewed the lease.

Change: while calls are established, a connection counts as failed only if another one has been heard since; until then what was sent may still arrive. Connections opened for verification are kept, up to five in all, and take no set-up until they are heard.

--- a/src/net/peer/connections.rs
+++ b/src/net/peer/connections.rs
@@ -85,18 +85,20 @@
         );
         handle.mark_carries_calls();
         let connected_at = self.now();
+        let is_verifying = std::mem::take(&mut self.verify_next);
         let connection = PeerConnection {
             handle,
             _permit: permit,
             connected_at,
             last_received: connected_at,
+            has_received: false,
             last_answer: connected_at,
-            failure_signs: 0,
+            failure_signs: u32::from(is_verifying),
             pending_set_ups: Default::default(),
         };
         self.connections.insert(connection_id, connection);
         self.liveness.connection_opened(connected_at, connection_id);
-        if std::mem::take(&mut self.verify_next) {
+        if is_verifying {
             self.verifying_connection = Some(connection_id);
         }
         tracing::debug!(office = self.exchange.0, connection = connection_id, addr = %self.addr, "connected");
@@ -178,12 +180,21 @@
         }
     }
 
-    /// Replaces a connection with signs of failure, once no set-up is pending on it.
+    /// Whether another connection has received a message since this one did.
+    fn is_heard_elsewhere(&self, connection_id: u64, since: Time) -> bool {
+        let mut others = self.connections.iter().filter(|(other, _)| **other != connection_id);
+        others.any(|(_, other)| other.has_received && other.last_received > since)
+    }
+
+    /// Replaces a connection with signs of failure, once no set-up is pending on it. While calls are established, and
+    /// the exchange is silent on all connections, it is kept: what the exchange has sent, such as a release, may still
+    /// arrive on it.
     pub(super) fn replace_failing(&mut self, connection_id: u64) {
-        if self
-            .connections
-            .get(&connection_id)
-            .is_none_or(|c| c.failure_signs == 0 || !c.pending_set_ups.is_empty())
+        let Some(connection) = self.connections.get(&connection_id) else { return };
+        if connection.failure_signs == 0 || !connection.pending_set_ups.is_empty() {
+            return;
+        }
+        if self.liveness.call_count() > 0 && !self.is_heard_elsewhere(connection_id, connection.last_received)
         {
             return;
         }
@@ -196,6 +207,17 @@
         self.connect();
     }
 
+    /// Replaces the other connections with signs of failure, after a message on this one.
+    pub(super) fn replace_other_failing(&mut self, connection_id: u64) {
+        let failing = |(other, c): (&u64, &PeerConnection)| {
+            (*other != connection_id && c.failure_signs > 0).then_some(*other)
+        };
+        let failing: Vec<u64> = self.connections.iter().filter_map(failing).collect();
+        for other in failing {
+            self.replace_failing(other);
+        }
+    }
+
     /// Closes the connection that has been quiet the longest, if there are too many and no liveness check uses one.
     pub(super) fn close_surplus(&mut self, keep: u64) {
         if self.connections.len() > MAX_CONNECTIONS && self.verifying_connection.is_none() {
--- a/src/net/peer/mod.rs
+++ b/src/net/peer/mod.rs
@@ -77,11 +77,14 @@
     _permit: Permit,
     /// When it was opened.
     connected_at: Time,
-    /// When a message was last received on it.
+    /// When a message was last received on it; at first, when it was opened.
     last_received: Time,
+    /// A message has been received on it.
+    has_received: bool,
     /// When an answer to a set-up was last received on it; at first, when it was opened.
     last_answer: Time,
-    /// Number of signs of failure since then: set-ups that were overtaken or timed out, and missing states.
+    /// Number of signs of failure since then: set-ups that were overtaken or timed out, missing states, and a first
+    /// state that is awaited.
     failure_signs: u32,
     /// Set-ups sent on it that are not answered.
     pending_set_ups: BTreeMap<CallId, PendingInvite>,
--- a/src/net/peer/watch.rs
+++ b/src/net/peer/watch.rs
@@ -1,6 +1,6 @@
 //! Runs the failure detector of an exchange ([`crate::membership::liveness`]) and carries out its decisions.
 
-use super::{Peer, PeerActorMessage};
+use super::{Peer, PeerActorMessage, MAX_CONNECTIONS};
 use crate::calls::{CallEvent, ExchangeCommand};
 use crate::interface::*;
 use crate::limits::connections::Purpose;
@@ -11,6 +11,8 @@
 
 /// A liveness check that runs this many seconds late is postponed: received messages may not have been read yet.
 const STALL_THRESHOLD: Secs = 0.25;
+/// Most connections to an exchange while its liveness is verified.
+const MAX_WHILE_VERIFYING: usize = MAX_CONNECTIONS + 2;
 /// Delay in seconds of a check postponed for this reason.
 const STALL_RECHECK_DELAY: Secs = 0.1;
 
@@ -20,6 +22,9 @@
         let now = self.now();
         if let Some(connection) = self.connections.get_mut(&connection_id) {
             connection.last_received = now;
+            if !std::mem::replace(&mut connection.has_received, true) {
+                connection.failure_signs = 0;
+            }
         }
         if message.method() == Some("NOTIFY") {
             let report = super::calls::report_of(message);
@@ -35,6 +40,7 @@
             );
             self.verifying_connection = None;
         }
+        self.replace_other_failing(connection_id);
         self.close_surplus(connection_id);
     }
 
@@ -87,9 +93,13 @@
         self.replace_failing(connection_id);
     }
 
-    /// Opens one more connection to find out whether the exchange is alive.
+    /// Opens one more connection to find out whether the exchange is alive. Earlier ones are kept as far as possible: an
+    /// exchange that hangs accepts them, and may send releases on them when it goes on.
     async fn verify_exchange(&mut self) {
-        if let Some(connection_id) = self.verifying_connection.take() {
+        self.verifying_connection = None;
+        if self.connections.len() >= MAX_WHILE_VERIFYING {
+            let unheard = self.connections.iter().find(|(_, c)| !c.has_received);
+            let Some(connection_id) = unheard.map(|(connection_id, _)| *connection_id) else { return };
             self.connection_lost(connection_id, "no state received".to_owned(), false, CloseKind::Other)
                 .await;
         }
--- a/tests/silent_exchange.rs
+++ b/tests/silent_exchange.rs
@@ -146,6 +146,32 @@
     });
 }
 
+/// Guards releases that an exchange sends while the proxy hears nothing of it. All its connections were replaced when
+/// set-ups on them timed out, so that a release on an old connection, and its copy on one that was opened meanwhile and
+/// closed again, both got lost.
+#[test]
+fn releases_of_an_exchange_that_hung_reach_their_callers_when_it_goes_on() {
+    run(async |tasks| {
+        let deployment = Deployment::start(tasks, 1).await;
+        let caller = deployment.caller("c").await;
+        let (short, long) = (call_ids(1, 4), call_ids(2, 2));
+        deployment.establish(&caller, 1, &short, 2_000).await;
+        deployment.establish(&caller, 1, &long, LONG_HOLD_MS).await;
+        deployment.exchanges[0].hang();
+        for call in call_ids(3, 12) {
+            let number = CallScript { answer_ms: 5, hold_ms: 100 }.called_number();
+            let set_up = SetUp { call_id: call, number, deadline_ms: 300, destination: 1 };
+            caller.send_set_up(&set_up).await.expect("it is sent");
+            sleep(0.45).await;
+        }
+        assert!(deployment.exchanges[0].connections(0) <= 5, "too many connections to the exchange");
+        deployment.exchanges[0].resume();
+        let unreleased = deployment.unreleased_by(&short, now() + 1.05).await;
+        assert!(unreleased.is_empty(), "not released: {unreleased:?}\n{}", deployment.proxy.log());
+        assert!(long.iter().all(|call| deployment.released_at(call).is_none()), "{}", deployment.proxy.log());
+    });
+}
+
 /// Guards the end of a shutdown: new set-ups are refused at once, the release of an established call is still
 /// forwarded on its connection, and the program ends when no call is left.
 #[test]
