A second SIGTERM no longer starts a second chain of drain checks

Each SIGTERM scheduled another timer that rescheduled itself until the end, so signals in series multiplied the work of a shutdown. The first one starts the checks, later ones are logged only.

--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -133,7 +133,10 @@
                         standing = self.table.established_count(),
                         "draining"
                     );
-                    drain_started = drain_started.or(Some(now));
+                    if drain_started.is_some() {
+                        continue;
+                    }
+                    drain_started = Some(now);
                     let active_shutdown =
                         *shutdown.get_or_insert(Shutdown::begin(now, self.longest_deadline));
                     if let Some(platform) = self.platform.clone() {
