--- a/crates/soak/src/judge/view.rs
+++ b/crates/soak/src/judge/view.rs
@@ -158,7 +158,8 @@
     pub fn from_entries(entries: &[Entry]) -> TrialContext {
         let mut context = TrialContext::default();
         let mut connected_since: BTreeMap<(usize, &str), f64> = BTreeMap::new();
-        let mut disturbed_since: BTreeMap<&str, f64> = BTreeMap::new();
+        // Start and number of the disturbances that overlap.
+        let mut disturbed_since: BTreeMap<&str, (f64, u32)> = BTreeMap::new();
         let end = entries.last().map_or(0.0, |entry| entry.at);
         for entry in entries {
             let Entry { at, observer, proxy, .. } = entry;
@@ -172,9 +173,15 @@
                 Observation::ProcessGone => {
                     context.process_ends.entry(observer.clone()).or_default().push(*at)
                 }
-                Observation::LinkDisturbed => drop(disturbed_since.entry(observer).or_insert(*at)),
+                Observation::LinkDisturbed => disturbed_since.entry(observer).or_insert((*at, 0)).1 += 1,
                 Observation::LinkRestored => {
-                    if let Some(from) = disturbed_since.remove(observer.as_str()) {
+                    let Some((from, overlapping)) = disturbed_since.get_mut(observer.as_str()) else {
+                        continue;
+                    };
+                    *overlapping -= 1;
+                    let (from, overlapping) = (*from, *overlapping);
+                    if overlapping == 0 {
+                        disturbed_since.remove(observer.as_str());
                         context
                             .disturbed_spans
                             .entry(observer.clone())
@@ -202,7 +209,7 @@
         for ((proxy, _), from) in connected_since {
             context.caller_spans.entry(proxy).or_default().push(Span { from, to: end });
         }
-        for (observer, from) in disturbed_since {
+        for (observer, (from, _)) in disturbed_since {
             context.disturbed_spans.entry(observer.to_owned()).or_default().push(Span { from, to: end });
         }
         context
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -6,6 +6,11 @@
 
 use crate::fault::{FaultKind, Target};
 
+/// Number of calls of a crowd at each proxy.
+const CROWD_CALLS: usize = 80;
+/// Time within which a crowd arrives, in seconds.
+const CROWD_SECONDS: f64 = 0.8;
+
 /// One planned call.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct PlannedCall {
@@ -65,6 +70,8 @@
     pub callers: usize,
     /// Whether a relay stands between the proxies and each exchange.
     pub relayed: bool,
+    /// Start of a crowd of calls at every proxy, in seconds from the start of the load, if there is one.
+    pub crowd_at: Option<f64>,
     /// Calls in chronological order.
     pub calls: Vec<PlannedCall>,
     /// Faults in chronological order.
@@ -99,14 +106,39 @@
             exchange_rate: 40.0,
             callers: rng.random_range(1..=6),
             relayed: rng.random_range(0..2) == 0,
+            crowd_at: None,
             calls: Vec::new(),
             faults: Vec::new(),
         };
         plan.faults = plan.draw_faults(&mut rng, options);
         plan.calls = plan.draw_calls(&mut rng);
+        if rng.random_range(0..4) == 0 {
+            plan.add_crowd(&mut rng);
+        }
         plan
     }
 
+    /// Adds a crowd: many short calls at every proxy at once.
+    fn add_crowd(&mut self, rng: &mut Pcg64Mcg) {
+        let crowd_at = rng.random_range(0.2..0.8) * self.seconds;
+        self.crowd_at = Some(crowd_at);
+        for proxy in 0..self.proxies {
+            for _ in 0..CROWD_CALLS {
+                self.calls.push(PlannedCall {
+                    at: crowd_at + rng.random_range(0.0..CROWD_SECONDS),
+                    proxy,
+                    caller: rng.random_range(0..self.callers),
+                    exchange: rng.random_range(0..self.exchanges),
+                    answer_ms: rng.random_range(2..60),
+                    hold_ms: rng.random_range(20..2_000),
+                    deadline_ms: (self.give_up * 1000.0).round() as u64,
+                    hang_up_ms: None,
+                });
+            }
+        }
+        self.calls.sort_by(|a, b| a.at.total_cmp(&b.at));
+    }
+
     fn draw_calls(&self, rng: &mut Pcg64Mcg) -> Vec<PlannedCall> {
         let mut calls = Vec::new();
         for proxy in 0..self.proxies {
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -96,6 +96,9 @@
         plan.seed, plan.proxies, plan.exchanges, relayed, plan.seconds, plan.calls.len(), plan.give_up, plan.descriptors,
         plan.memory_mb
     );
+    if let Some(at) = plan.crowd_at {
+        let _ = writeln!(text, "  {at:7.3} a crowd of calls at every proxy");
+    }
     for fault in &plan.faults {
         let (at, duration_s, target) = (fault.at, fault.duration_s, fault.target);
         let _ = writeln!(
--- a/crates/soak/src/trial/faults.rs
+++ b/crates/soak/src/trial/faults.rs
@@ -201,6 +201,9 @@
 
     /// Disturbs the network between all proxies and an exchange.
     async fn disturb_links(&self, fault: &PlannedFault) {
+        if !self.disturbed_links.borrow_mut().insert(fault.target) {
+            return;
+        }
         let exchange = self.exchanges.borrow()[fault.target].clone();
         let cut = Link { cut: true, delay: 0.0 };
         let slow = Link { cut: false, delay: self.variation(fault, LONGEST_NETWORK_DELAY_S) };
@@ -214,6 +217,7 @@
         sleep(fault.duration_s).await;
         self.set_links(&exchange, (Link::default(), Link::default()));
         self.record.add(exchange.name(), 0, "", Observation::LinkRestored);
+        self.disturbed_links.borrow_mut().remove(&fault.target);
     }
 
     fn set_links(&self, exchange: &Exchange, (to_exchange, to_proxy): (Link, Link)) {
--- a/crates/soak/src/trial/mod.rs
+++ b/crates/soak/src/trial/mod.rs
@@ -54,6 +54,8 @@
     exchanges: RefCell<Vec<Exchange>>,
     /// Indices of exchanges that a fault is currently changing.
     changing_exchanges: RefCell<BTreeSet<usize>>,
+    /// Indices of exchanges whose network is disturbed by a relay fault.
+    disturbed_links: RefCell<BTreeSet<usize>>,
     next_id: Cell<u64>,
     discoveries: Vec<Discovery>,
     /// The relays, by the address of the exchange that each leads to; none if the plan has no relays.
@@ -129,6 +131,7 @@
             plan,
             exchanges: RefCell::new(exchanges),
             changing_exchanges: RefCell::default(),
+            disturbed_links: RefCell::default(),
             next_id: Cell::new(0),
             discoveries,
             relays: RefCell::new(relays),
--- a/crates/soak/src/trial/proxies.rs
+++ b/crates/soak/src/trial/proxies.rs
@@ -14,6 +14,9 @@
 /// Interval in seconds at which a process is polled.
 const POLL_INTERVAL_S: f64 = 0.01;
 
+/// Interval in seconds at which SIGTERM is sent again.
+const TERM_INTERVAL_S: f64 = 0.5;
+
 /// State of a proxy's process.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ProcessState {
@@ -105,7 +108,8 @@
         }
     }
 
-    /// Sends SIGTERM, and SIGKILL after `kill_after` seconds if the process still runs; then starts another process.
+    /// Sends SIGTERM, every half second again, and SIGKILL after `kill_after` seconds if the process still runs; then
+    /// starts another process.
     pub async fn terminate(&self, kill_after: f64, discovery: &Discovery) {
         if self.process_state.get() != ProcessState::Running {
             return;
@@ -113,8 +117,12 @@
         let terminated_at = now();
         self.process_state.set(ProcessState::Terminating(terminated_at));
         self.record_event(Observation::Terminated);
-        self.proxy.borrow().signal(Signal::TERM);
+        let mut signals_sent = 0;
         loop {
+            if now() - terminated_at >= f64::from(signals_sent) * TERM_INTERVAL_S {
+                self.proxy.borrow().signal(Signal::TERM);
+                signals_sent += 1;
+            }
             if let Some(clean) = self.proxy.borrow_mut().try_exit_success() {
                 self.record_event(Observation::ProxyEnded { clean });
                 break;
--- a/crates/standin/src/exchange/calls.rs
+++ b/crates/standin/src/exchange/calls.rs
@@ -131,7 +131,11 @@
     /// connection to be opened.
     pub(super) fn send_delayed_releases(&self, port_index: usize) {
         let port = &self.0.ports[port_index];
-        let Some(release_connection) = port.connections.borrow().keys().next().copied() else { return };
+        let audible = {
+            let (open, silenced) = (port.connections.borrow(), self.0.silenced.borrow());
+            open.keys().find(|connection| !silenced.contains(connection)).copied()
+        };
+        let Some(release_connection) = audible else { return };
         for message in port.delayed_releases.borrow_mut().drain(..) {
             self.record_call_event(port_index, &call_id_of(&message), Observation::ReleaseSent);
             self.write(port_index, release_connection, &message);
--- a/crates/standin/src/exchange/faults.rs
+++ b/crates/standin/src/exchange/faults.rs
@@ -64,9 +64,11 @@
 
     /// Ends [`Exchange::cut_off`] and [`Exchange::hang`]: delayed reads and writes continue.
     pub fn resume(&self) {
-        self.0.condition.set(Condition::Working);
+        let was_cut_off = self.0.condition.replace(Condition::Working) == Condition::CutOff;
         self.record_event(Observation::Working);
-        self.record_event(Observation::LinkRestored);
+        if was_cut_off {
+            self.record_event(Observation::LinkRestored);
+        }
         for port in &self.0.ports {
             port.backlog.borrow_mut().release();
         }
@@ -120,9 +122,11 @@
                 *port.listener.borrow_mut() = Some(rebound);
             }
         }
-        self.0.condition.set(Condition::Working);
+        let was_cut_off = self.0.condition.replace(Condition::Working) == Condition::CutOff;
         self.record_event(Observation::Working);
-        self.record_event(Observation::LinkRestored);
+        if was_cut_off {
+            self.record_event(Observation::LinkRestored);
+        }
         self.accept_on_all_ports();
         Ok(())
     }
