Stand-in exchange: one that is cut off or hangs can't close a connection

The soak let an exchange that had vanished or hung close a connection in order, which the proxy rightly takes for a sign of life.

--- a/crates/standin/src/exchange/faults.rs
+++ b/crates/standin/src/exchange/faults.rs
@@ -131,8 +131,12 @@
         Ok(())
     }
 
-    /// Closes one connection of a proxy in order; returns whether there was one.
+    /// Closes one connection of a proxy in order; returns whether there was one. An exchange that is cut off, or hangs,
+    /// can't close any.
     pub fn close_connection(&self, proxy: usize) -> bool {
+        if self.0.condition.get() != Condition::Working {
+            return false;
+        }
         let closed = self.0.ports[proxy].connections.borrow_mut().pop_first();
         closed.is_some_and(|(_, connection)| connection.stream.shutdown(Shutdown::Both).is_ok())
     }
