Messages that the network held back no longer renew the lease of an exchange's calls

Cause: a message renewed the lease from its arrival, though it may have been sent seconds before. Change: after a silence of 3 s a message or a close proves nothing by itself; the lease is renewed by a message on a connection that was opened during the silence, or by one that comes a second later, when what was held back has passed. A new connection is asked for at once. An answer to a set-up still renews it.

--- a/src/membership/liveness.rs
+++ b/src/membership/liveness.rs
@@ -37,6 +37,8 @@
     /// Time within which a release has to follow the state that no longer counts its call. After that the release
     /// counts as lost.
     pub release_lag: Secs,
+    /// Messages within this time after the first one that follows a silence may have been held back by the network.
+    pub held_back: Secs,
     /// A newer connection is assigned to the process of an older one if the older one delivers a message at least
     /// this long after the newer one was opened.
     pub overlap: Secs,
@@ -50,6 +52,7 @@
             verify_interval: 1.2,
             state_lag: 1.0,
             release_lag: 0.6,
+            held_back: 1.0,
             overlap: 0.25,
         }
     }
@@ -112,6 +115,8 @@
     connections: BTreeMap<u64, Connection>,
     /// The last proof of life of each process that has calls or connections.
     last_alive: BTreeMap<Process, Time>,
+    /// When a process was heard again after a silence, if that has not renewed its lease yet.
+    heard_again: BTreeMap<Process, Time>,
     calls: BTreeMap<CallId, Call>,
     next_process: Process,
     /// When a new connection was last asked for.
@@ -139,6 +144,7 @@
             timing,
             connections: BTreeMap::new(),
             last_alive: BTreeMap::new(),
+            heard_again: BTreeMap::new(),
             calls: BTreeMap::new(),
             next_process: 0,
             last_verify: None,
@@ -174,7 +180,9 @@
         let Some(receiver) = self.connections.get_mut(&connection) else { return };
         (receiver.has_received, receiver.missing_since) = (true, None);
         let (process, opened) = (receiver.process, receiver.opened);
-        self.renew_lease(process, now);
+        if let Some(proven) = self.proof_of_life(now, process, opened) {
+            self.renew_lease(process, proven);
+        }
         // Connections that were opened while this process was running lead to it.
         let overlap = self.timing.overlap;
         let opened_meanwhile =
@@ -251,7 +259,9 @@
     pub fn connection_closed(&mut self, now: Time, connection: u64, kind: CloseKind) {
         let Some(closed) = self.connections.remove(&connection) else { return };
         if kind == CloseKind::ByPeer {
-            self.renew_lease(closed.process, now);
+            if let Some(proven) = self.proof_of_life(now, closed.process, closed.opened) {
+                self.renew_lease(closed.process, proven);
+            }
         }
         self.remove_if_unused(closed.process);
     }
@@ -260,6 +270,7 @@
     pub fn call_established(&mut self, now: Time, connection: u64, call: CallId, width: u32) {
         let Some(receiver) = self.connections.get(&connection) else { return };
         let process = receiver.process;
+        self.renew_lease(process, now);
         self.calls.insert(call, Call { process, width, established: now });
         // The exchange seizes the circuits of a call, and reports them in its state, before it answers the call.
         self.counts_our_calls |= self.circuits_in_use.is_some() && !self.counts_too_few();
@@ -290,9 +301,36 @@
         }
     }
 
-    fn renew_lease(&mut self, process: Process, now: Time) {
+    /// Until when a message, or the close of a connection, proves that a process was alive. After a silence it may have been sent long before: then a
+    /// connection opened during the silence proves its own opening, another one nothing until what the network had
+    /// held back has passed. A new connection is asked for at once.
+    fn proof_of_life(&mut self, now: Time, process: Process, opened: Time) -> Option<Time> {
+        let last = *self.last_alive.get(&process)?;
+        let holds_calls = self.calls.values().any(|call| call.process == process);
+        if !holds_calls || now - last < self.timing.verify_after {
+            self.heard_again.remove(&process);
+            return Some(now);
+        }
+        if opened > last {
+            return Some(opened);
+        }
+        match self.heard_again.get(&process) {
+            Some(since) if now - *since >= self.timing.held_back => {
+                self.heard_again.remove(&process);
+                Some(now)
+            }
+            Some(_) => None,
+            None => {
+                self.heard_again.insert(process, now);
+                self.last_verify = None;
+                None
+            }
+        }
+    }
+
+    fn renew_lease(&mut self, process: Process, until: Time) {
         if let Some(alive) = self.last_alive.get_mut(&process) {
-            *alive = Time(alive.0.max(now.0));
+            *alive = Time(alive.0.max(until.0));
         }
     }
 
@@ -304,6 +342,7 @@
         for call in self.calls.values_mut().filter(|c| c.process == from) {
             call.process = into;
         }
+        self.heard_again.remove(&from);
         if let Some(alive) = self.last_alive.remove(&from) {
             self.renew_lease(into, alive);
         }
@@ -314,6 +353,7 @@
             || self.calls.values().any(|c| c.process == process);
         if !used {
             self.last_alive.remove(&process);
+            self.heard_again.remove(&process);
         }
     }
 
--- a/tests/liveness.rs
+++ b/tests/liveness.rs
@@ -283,3 +283,48 @@
     assert_eq!(ends.len(), 1);
     assert!(ends[0].0 - last_message < 8.0, "{}", ends[0].0 - last_message);
 }
+
+/// Guards against a lease that old messages renew: the network had held them back for seconds, and the exchange vanished
+/// meanwhile, so that its calls were released later than 8 s. Seen in the soak (seed 105).
+#[test]
+fn messages_that_the_network_held_back_do_not_renew_the_lease() {
+    let mut bench = Bench::new();
+    bench.establish(1, "a");
+    let last_message = bench.now;
+    let mut effects = bench.run(4.0, |_, _| {});
+    for connection in [1, 2, 1] {
+        bench.detector.message_received(Time(bench.now), connection);
+        effects.extend(bench.run(0.2, |_, _| {}));
+    }
+    bench.detector.connection_closed(Time(bench.now), 2, CloseKind::ByPeer);
+    assert!(effects.iter().any(|(at, effect)| *effect == Effect::Verify && *at >= last_message + 4.0));
+    effects.extend(bench.run(20.0, |_, _| {}));
+    let ends = expired(&effects);
+    assert!((7.0..7.9).contains(&(ends[0].0 - last_message)), "{}", ends[0].0 - last_message);
+}
+
+/// Guards the calls of an exchange that goes on after a silence: what it sends later, or a state on a connection that
+/// was opened since, renews the lease.
+#[test]
+fn an_exchange_that_goes_on_after_a_silence_keeps_its_calls() {
+    let mut bench = Bench::new();
+    bench.establish(1, "a");
+    let mut effects = bench.run(5.0, |_, _| {});
+    for _ in 0..20 {
+        bench.detector.message_received(Time(bench.now), 1);
+        effects.extend(bench.run(0.9, |_, _| {}));
+    }
+    assert!(expired(&effects).is_empty());
+
+    let mut bench = Bench::new();
+    bench.establish(1, "a");
+    bench.run(5.0, |_, _| {});
+    bench.detector.message_received(Time(bench.now), 1);
+    let mut next = 10;
+    let effects = bench.run(30.0, |detector, now| {
+        next += 1;
+        detector.connection_opened(now, next);
+        detector.state_received(now, next, &circuits_in_use(1.0));
+    });
+    assert!(expired(&effects).is_empty());
+}
