Connections with calls are closed before the earliest SIGKILL, not up to 0.1 s after it

Cause: connections with established calls may be closed 0.15 s before the earliest SIGKILL, but the front looks at its connections every 0.25 s.

--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -308,8 +308,9 @@
         if self.accepting == Accepting::Ended && self.caller_connections.is_empty() {
             return;
         }
-        let next_check = (now + CHECK_INTERVAL, TimerKind::ConnectionCheck);
-        if self.front.timers.send(next_check).await.is_err() {
+        let refusal_time = self.shutdown.map(|shutdown| shutdown.refusal_time()).filter(|at| *at > now);
+        let next_check = refusal_time.map_or(f64::INFINITY, |at| at.0).min((now + CHECK_INTERVAL).0);
+        if self.front.timers.send((Time(next_check), TimerKind::ConnectionCheck)).await.is_err() {
             tracing::error!("the clock actor has ended: connections of callers are no longer checked");
         }
     }
--- a/src/recovery/shutdown.rs
+++ b/src/recovery/shutdown.rs
@@ -41,7 +41,12 @@
 
     /// Whether all open set-ups have to be refused now, as their final answer.
     pub fn must_refuse_open(&self, now: Time) -> bool {
-        now - self.started >= SERVING_PERIOD + self.max_deadline - REFUSE_BEFORE_KILL
+        now >= self.refusal_time()
+    }
+
+    /// When [`Shutdown::must_refuse_open`] begins. Connections have to be closed then, without delay.
+    pub fn refusal_time(&self) -> Time {
+        self.started + (SERVING_PERIOD + self.max_deadline - REFUSE_BEFORE_KILL)
     }
 
     /// Whether a connection with this number of open set-ups and established calls may be closed. Just before the
