--- a/src/net/peer/connections.rs
+++ b/src/net/peer/connections.rs
@@ -163,7 +163,11 @@
         );
         let last = self.connections.is_empty();
         self.last_connection_lost |= last;
-        self.connect();
+        match lost.has_received {
+            true => self.connect(),
+            // It came up and ended before the exchange was heard: another one at once may end the same way.
+            false => self.schedule_reconnect(RECONNECT_DELAY),
+        }
         self.abandon_pending_set_ups(lost).await;
         if last && self.service_state == ServiceState::Draining {
             // A draining exchange has stopped. A process that listens at its address later is another exchange, with
--- a/tests/silent_exchange.rs
+++ b/tests/silent_exchange.rs
@@ -2,9 +2,12 @@
 
 mod deployment;
 
-use deployment::{call_ids, Deployment};
+use deployment::{call_ids, roster_entry, Deployment};
+use mallowring_standin::discovery::{Lifecycle, RosterEntry};
+use mallowring_standin::exchange::Exchange;
 use mallowring_standin::messages::{CallScript, SetUp};
 use mallowring_standin::record::{now, Observation};
+use mallowring_standin::relay::Relay;
 use mallowring_standin::{run, sleep};
 
 /// Limit in seconds from the end of a call to the release to its caller, including the slack of the protocol page
@@ -172,6 +175,25 @@
     });
 }
 
+/// Guards against a reconnect storm: connections that came up and were reset at once were opened again without a pause,
+/// thousands in a second. Seen in the soak (seed 52).
+#[test]
+fn connections_that_are_reset_at_once_are_not_reopened_without_a_pause() {
+    run(async |tasks| {
+        let deployment = Deployment::start(tasks.clone(), 1).await;
+        let dead = Exchange::start(&tasks, &deployment.record, "s-2", 2, 1).expect("sockets");
+        dead.crash();
+        let relay = Relay::start(&tasks, dead.addr(0)).expect("a socket");
+        let entry = RosterEntry { addr: relay.addr(), ..roster_entry(&dead, Lifecycle::Ready) };
+        deployment.discovery.publish(false, &[entry]);
+        sleep(2.0).await;
+        let log = deployment.proxy.log();
+        let opened =
+            log.lines().filter(|line| line.contains("connected") && line.contains("office=2")).count();
+        assert!((1..=40).contains(&opened), "{opened} connections in 2 s");
+    });
+}
+
 /// Guards the end of a shutdown: new set-ups are refused at once, the release of an established call is still
 /// forwarded on its connection, and the program ends when no call is left.
 #[test]
