Circuits of pending set-ups no longer stand for calls of an old process

Cause: a state on a new connection that counts at least as many circuits as our calls hold was taken as proof that its process holds them; a set-up that was pending on the new process had seized one.

--- a/src/membership/liveness.rs
+++ b/src/membership/liveness.rs
@@ -123,6 +123,8 @@
     last_verify: Option<Time>,
     /// Circuits in use according to the last state.
     circuits_in_use: Option<f64>,
+    /// Circuits that set-ups without an answer may hold at the exchange.
+    pending_circuits: u32,
     /// A state has counted our calls before. Only then does a state that counts fewer circuits show lost releases.
     counts_our_calls: bool,
     lost_releases: Option<LostReleases>,
@@ -149,6 +151,7 @@
             next_process: 0,
             last_verify: None,
             circuits_in_use: None,
+            pending_circuits: 0,
             counts_our_calls: false,
             lost_releases: None,
         }
@@ -194,6 +197,11 @@
         }
     }
 
+    /// Sets the circuits that set-ups without an answer may hold at the exchange.
+    pub fn set_pending_circuits(&mut self, circuits: u32) {
+        self.pending_circuits = circuits;
+    }
+
     /// Records that the state of the trunk group has arrived on a connection.
     pub fn state_received(&mut self, now: Time, connection: u64, report: &LoadReport) {
         // Read before this message renews a lease. Only processes that hold calls count: a connection that has just
@@ -243,10 +251,11 @@
         self.calls.values().map(|call| call.width).sum()
     }
 
-    /// Whether a state reports at least as many circuits in use as our calls hold. If it reports no circuits, it is
+    /// Whether a state reports at least as many circuits in use as our calls hold, besides those that pending set-ups
+    /// may have seized. If it reports no circuits, it is
     /// taken to come from the process of our calls as long as that process has an open connection.
     fn accounts_for_our_calls(&self, process: Process, report: &LoadReport) -> bool {
-        let ours = self.circuits_of_our_calls();
+        let ours = self.circuits_of_our_calls() + self.pending_circuits;
         match (report.free_circuits, report.group_size) {
             (Some(free), Some(size)) => size - free + 1e-9 >= f64::from(ours),
             _ => self.calls.values().all(|call| {
--- a/src/net/peer/watch.rs
+++ b/src/net/peer/watch.rs
@@ -28,6 +28,8 @@
         }
         if message.method() == Some("NOTIFY") {
             let report = super::calls::report_of(message);
+            let pending = self.connections.values().flat_map(|c| c.pending_set_ups.values());
+            self.liveness.set_pending_circuits(pending.map(|invite| invite.width).sum());
             self.liveness.state_received(now, connection_id, &report);
         } else {
             self.liveness.message_received(now, connection_id);
--- a/tests/liveness.rs
+++ b/tests/liveness.rs
@@ -328,3 +328,23 @@
     });
     assert!(expired(&effects).is_empty());
 }
+
+/// Guards against a new process at the address of an old one that is taken for it: a set-up that is pending there has
+/// seized a circuit, which was counted as one of the old process's call. Seen in the soak (seed 52).
+#[test]
+fn circuits_of_pending_set_ups_do_not_account_for_calls() {
+    let mut bench = Bench::new();
+    bench.establish(1, "old");
+    let last_message = bench.now;
+    for connection in 1..=3 {
+        bench.detector.connection_closed(Time(bench.now), connection, CloseKind::Other);
+    }
+    bench.now += 1.0;
+    bench.detector.connection_opened(Time(bench.now), 4);
+    bench.detector.state_received(Time(bench.now), 4, &circuits_in_use(0.0));
+    bench.detector.set_pending_circuits(1);
+    bench.detector.state_received(Time(bench.now + 0.1), 4, &circuits_in_use(1.0));
+    let ends = expired(&bench.run(20.0, |_, _| {}));
+    assert_eq!(ends.len(), 1);
+    assert!((7.0..7.9).contains(&(ends[0].0 - last_message)), "{}", ends[0].0 - last_message);
+}
