Log every end of an attempt, every refusal and each roster change at the default level

Ends by a final answer, by 'never sent', by the caller or by a shutdown, and all refusals, were logged at debug or not at all. Change: each end of an attempt and each refusal or rejection has one line at info with the call id, outcome, evidence and cause; likewise queued set-ups that go out, failed connects while something waits, answers without a pending set-up, and changes of the roster with their start times. No behaviour changes.

--- a/src/calls/table.rs
+++ b/src/calls/table.rs
@@ -58,7 +58,7 @@
 
 /// Logs and counts the refusal of a request.
 fn record_refusal(id: &CallId, reason: &'static str) {
-    tracing::debug!(call = id.0, reason, "request refused");
+    tracing::info!(call = id.0, reason, "request refused");
     telemetry::request_refused(reason);
 }
 
@@ -78,35 +78,21 @@
     }
 }
 
-/// Logs and counts the end of an attempt that was not answered with success. An end that a rule attaches a pause to is
-/// logged at the default level, as it explains when and why the call is attempted again or refused.
+/// Logs and counts the end of an attempt that was not answered with success: it explains whether and when the call is
+/// attempted again.
 fn record_attempt_end(id: &CallId, exchange: ExchangeId, attempt: u32, end: &AttemptEnd, elapsed: Secs) {
     let AttemptEnd { outcome, cause, evidence, .. } = end;
     telemetry::attempt_ended(outcome.name(), evidence.name());
-    let (call, office, evidence) = (&id.0, exchange.0, evidence.name());
-    if matches!(outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled) {
-        tracing::info!(
-            call,
-            office,
-            attempt,
-            ?outcome,
-            ?cause,
-            evidence,
-            elapsed_s = elapsed,
-            "attempt ended"
-        );
-    } else {
-        tracing::debug!(
-            call,
-            office,
-            attempt,
-            ?outcome,
-            ?cause,
-            evidence,
-            elapsed_s = elapsed,
-            "attempt ended"
-        );
-    }
+    tracing::info!(
+        call = id.0,
+        office = exchange.0,
+        attempt,
+        outcome = outcome.name(),
+        ?cause,
+        evidence = evidence.name(),
+        elapsed_s = elapsed,
+        "attempt ended"
+    );
 }
 
 /// Logs an attempt that is sent, and counts it if it is not the first of its call.
@@ -195,12 +181,12 @@
     }
 
     /// Refuses every call that waits for a final answer, as the proxy is about to be killed.
-    pub fn refuse_waiting(&mut self, effects: &mut Vec<CallEffect>) {
+    pub fn refuse_waiting(&mut self, now: Time, effects: &mut Vec<CallEffect>) {
         let waiting = self.calls.iter().filter(|(_, c)| !matches!(c.stage, Stage::Established { .. }));
         let waiting: Vec<CallId> = waiting.map(|(id, _)| id.clone()).collect();
         let cool_down = self.default_cool_down();
         for id in waiting {
-            self.give_final_answer(id, CallerCommand::Refuse(cool_down), "shutting down", effects);
+            self.give_final_answer(now, id, CallerCommand::Refuse(cool_down), "shutting down", effects);
         }
     }
 
@@ -320,6 +306,7 @@
         };
         let tenant = request.tenant;
         if let Some(reject) = reject {
+            tracing::info!(call = id.0, reason = ?reject, "request rejected");
             self.tenants.count(tenant.as_ref(), |counts| counts.rejected += 1);
             return effects.push(CallEffect::Caller(front, id, CallerCommand::Reject(reject)));
         }
@@ -397,7 +384,9 @@
     /// The caller has given up: it gets no final answer, and an attempt in progress is cancelled.
     fn on_caller_gave_up(&mut self, now: Time, id: CallId, effects: &mut Vec<CallEffect>) {
         match self.calls.get(&id).map(|c| c.stage.clone()) {
-            Some(Stage::Attempting { exchange_id, leg, .. }) => {
+            Some(Stage::Attempting { exchange_id, leg, sent }) => {
+                let end = AttemptEnd::silent(Outcome::Cancelled, EndEvidence::Unconfirmed);
+                record_attempt_end(&id, exchange_id, leg, &end, now - sent);
                 effects.push(CallEffect::Exchange(
                     exchange_id,
                     id.clone(),
@@ -618,6 +607,7 @@
         let kind = if full_roster { RosterKind::Full } else { RosterKind::Incremental };
         self.decide(now, Event::Roster { kind, entries: roster_entries }, effects);
         for (exchange_id, before) in down {
+            tracing::info!(office = exchange_id.0, before = before.0, "process of the exchange has ended");
             self.on_exchange_down(now, exchange_id, before, effects);
         }
         // Ids are never reused, so the entries of removed exchanges can be dropped.
@@ -726,9 +716,9 @@
                 return self.attempt(now, id, exchange_id, abandon_at, effects)
             }
             Action::Refuse { id, cool_down, reason } => {
-                self.give_final_answer(id, CallerCommand::Refuse(cool_down), reason.name(), effects);
+                self.give_final_answer(now, id, CallerCommand::Refuse(cool_down), reason.name(), effects);
             }
-            Action::Fail(id) => self.give_final_answer(id, CallerCommand::Fail, "may have run", effects),
+            Action::Fail(id) => self.give_final_answer(now, id, CallerCommand::Fail, "may have run", effects),
             Action::Cancel { id, leg } => {
                 let Some(Stage::Attempting { exchange_id, leg: l, .. }) =
                     self.calls.get(&id).map(|c| c.stage.clone())
@@ -824,6 +814,7 @@
     /// Gives the caller its final answer, unless the call is established, and cancels an attempt in progress.
     fn give_final_answer(
         &mut self,
+        now: Time,
         id: CallId,
         final_answer: CallerCommand,
         reason: &'static str,
@@ -832,7 +823,9 @@
         let Some(call) = self.calls.get(&id) else { return };
         match call.stage {
             Stage::Established { .. } => return,
-            Stage::Attempting { exchange_id, leg, .. } => {
+            Stage::Attempting { exchange_id, leg, sent } => {
+                let end = AttemptEnd::silent(Outcome::Cancelled, EndEvidence::Unconfirmed);
+                record_attempt_end(&id, exchange_id, leg, &end, now - sent);
                 effects.push(CallEffect::Exchange(
                     exchange_id,
                     id.clone(),
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -27,6 +27,15 @@
 /// Interval of the checks whether a shutdown is complete.
 const DRAIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Logs a roster update; changes of single exchanges with their states and start times.
+fn record_roster(full: bool, listed: &[ListedExchange]) {
+    tracing::info!(whole = full, lines = listed.len(), "list");
+    for ListedExchange { entry, addr } in listed.iter().filter(|_| !full) {
+        let started_at = entry.ready_at.map(|at| at.0);
+        tracing::info!(office = entry.id.0, %addr, state = ?entry.state, started_at, "list entry");
+    }
+}
+
 /// Messages to the engine actor.
 #[derive(Debug)]
 pub enum EngineMessage {
@@ -98,7 +107,7 @@
             match message {
                 EngineMessage::Input(input) => self.table.handle(now, input, &mut effects),
                 EngineMessage::Roster { full, listed } => {
-                    tracing::info!(whole = full, lines = listed.len(), "list");
+                    record_roster(full, &listed);
                     let removed = self.apply_roster(full, &listed, &mut peers);
                     let mut entries: Vec<_> =
                         listed.into_iter().map(|listed_exchange| listed_exchange.entry).collect();
@@ -160,7 +169,7 @@
                         self.table.stop_admitting();
                     }
                     if shutdown.is_some_and(|s| s.must_refuse_open(now)) {
-                        self.table.refuse_waiting(&mut effects);
+                        self.table.refuse_waiting(now, &mut effects);
                     }
                     self.post_later(DRAIN_CHECK_INTERVAL, || EngineMessage::CheckDrained);
                 }
--- a/src/net/peer/calls.rs
+++ b/src/net/peer/calls.rs
@@ -231,7 +231,12 @@
         let cancelled_at = self.cancelled.iter().position(|cancelled| *cancelled == id);
         if leg.is_none() && cancelled_at.is_none() {
             // A duplicate, or an unknown id: it must not end a set-up that is pending on another connection.
-            tracing::debug!(office = self.exchange.0, call = id.0, "answer without a pending set-up ignored");
+            tracing::info!(
+                office = self.exchange.0,
+                call = id.0,
+                status,
+                "answer without a pending set-up ignored"
+            );
             return;
         }
         self.write(connection_id, &self.request("ACK", "call", &id, 1));
--- a/src/net/peer/connections.rs
+++ b/src/net/peer/connections.rs
@@ -103,6 +103,10 @@
         }
         tracing::debug!(office = self.exchange.0, connection = connection_id, addr = %self.addr, "connected");
         for (id, command) in std::mem::take(&mut self.queued_commands) {
+            if let ExchangeCommand::SetUp(set_up) = &command {
+                let (office, call, attempt) = (self.exchange.0, &id.0, set_up.leg);
+                tracing::info!(office, call, attempt, connection = connection_id, "queued set-up sent");
+            }
             self.send_command(id, command);
         }
     }
@@ -113,7 +117,12 @@
         self.connecting -= 1;
         self.verify_next = false;
         telemetry::exchange_connect_failed(&error);
-        tracing::debug!(office = self.exchange.0, %error, "connecting to the exchange failed");
+        let queued = self.queued_commands.len();
+        if queued > 0 || self.last_connection_lost {
+            tracing::info!(office = self.exchange.0, %error, queued, "connecting to the exchange failed");
+        } else {
+            tracing::debug!(office = self.exchange.0, %error, "connecting to the exchange failed");
+        }
         if self.connections.is_empty() && self.connecting == 0 {
             self.fail_queued_set_ups().await;
             // A timeout proves less than a refusal: the liveness lease decides on the calls.
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -486,6 +486,7 @@
         };
         if self.caller_connections.get(&connection_id).is_some_and(|caller| caller.over_limit) {
             telemetry::request_refused("too many callers");
+            tracing::info!(call = id.0, reason = "too many callers", "request refused");
             let refusal = Message::response(503, "Service Unavailable", &message.headers);
             self.write(connection_id, &refusal.with("X-Cooldown", COOL_DOWN_MS));
             return;
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -413,7 +413,7 @@
     let effects = harness.handle(CallEvent::Request(harness.request("new")));
     assert!(matches!(caller_commands(&effects)[..], [CallerCommand::Refuse(Some(_))]));
     let mut effects = Vec::new();
-    harness.table.refuse_waiting(&mut effects);
+    harness.table.refuse_waiting(Time(harness.now), &mut effects);
     assert!(matches!(caller_commands(&effects)[..], [CallerCommand::Refuse(Some(_))]));
     assert!(
         effects.iter().any(|c| matches!(c, CallEffect::Exchange(_, _, ExchangeCommand::CancelSetUp { .. }))),
