--- a/crates/standin/src/exchange/calls.rs
+++ b/crates/standin/src/exchange/calls.rs
@@ -17,11 +17,10 @@
             Some("INVITE") => {
                 let description = String::from_utf8_lossy(&message.body).into_owned();
                 self.record_call_event(port_index, &id, Observation::SetUpReceived { description });
-                self.0
-                    .calls
-                    .borrow_mut()
-                    .insert(id, Call { port: port_index, connection, established: false });
+                let call = Call { port: port_index, connection, established: false, failed_in_front: false };
+                self.0.calls.borrow_mut().insert(id, call);
                 self.occupy_circuit(port_index);
+                self.start_front_timeout(port_index, connection, &message);
                 let exchange = self.clone();
                 let handling = async move { exchange.run_call(port_index, connection, message).await };
                 self.0.executor.spawn(handling).detach();
@@ -44,6 +43,25 @@
         }
     }
 
+    /// Answers a set-up with 504 after [`super::Misbehaviour::front_timeout`], if it is still pending then.
+    fn start_front_timeout(&self, port_index: usize, connection: u64, set_up: &Message) {
+        let Some(timeout) = self.0.misbehaviour.get().front_timeout else { return };
+        let (exchange, id) = (self.clone(), call_id_of(set_up));
+        let failure = Message::response(504, "Server Time-out", &set_up.headers);
+        let answering = async move {
+            sleep(timeout).await;
+            match exchange.0.calls.borrow_mut().get_mut(&id) {
+                Some(call) if !call.established && call.connection == connection => {
+                    call.failed_in_front = true;
+                }
+                _ => return,
+            }
+            exchange.record_call_event(port_index, &id, Observation::FrontAnswered { status: 504 });
+            exchange.write(port_index, connection, &failure);
+        };
+        self.0.executor.spawn(answering).detach();
+    }
+
     fn is_pending(&self, id: &str) -> bool {
         self.0.calls.borrow().get(id).is_some_and(|call| !call.established)
     }
@@ -62,10 +80,17 @@
         let answer_delay_s = self.0.misbehaviour.get().answer_delay;
         sleep(script.answer_ms as f64 / 1000.0 + answer_delay_s).await;
         self.wait_until_working(generation).await;
-        match self.0.calls.borrow_mut().get_mut(&id) {
-            Some(call) if (call.port, call.connection) == (port_index, connection) => call.established = true,
+        let answer_is_lost = match self.0.calls.borrow_mut().get_mut(&id) {
+            Some(call) if (call.port, call.connection) == (port_index, connection) => {
+                call.established = !call.failed_in_front;
+                call.failed_in_front
+            }
             // The set-up was cancelled, or its connection was closed.
             _ => return,
+        };
+        if answer_is_lost {
+            self.remove_call(&id);
+            return self.record_call_event(port_index, &id, Observation::SetUpCancelled);
         }
         let description = format!("answer-{}-{id}", self.0.name);
         let mut answer = Message::response(200, "OK", &set_up.headers);
--- a/crates/standin/src/exchange/faults.rs
+++ b/crates/standin/src/exchange/faults.rs
@@ -29,6 +29,9 @@
     pub accept_delay: f64,
     /// Send releases on another connection than that of the set-up.
     pub releases_on_other_connection: bool,
+    /// A system in front of the exchange answers a set-up with 504 this many seconds after the exchange has read it,
+    /// unless it is answered before. The exchange goes on with the set-up, but its answer no longer arrives.
+    pub front_timeout: Option<f64>,
 }
 
 impl Exchange {
@@ -84,6 +87,20 @@
         self.0.executor.spawn(sending).detach();
     }
 
+    /// Refuses new connections from now on, while the process and its open connections work.
+    pub fn refuse_connections(&self) {
+        self.0.accepting.set(false);
+        self.close_listeners();
+    }
+
+    /// Ends [`Exchange::refuse_connections`].
+    pub async fn accept_connections(&self) -> io::Result<()> {
+        self.listen_again().await?;
+        self.0.accepting.set(true);
+        self.accept_on_all_ports();
+        Ok(())
+    }
+
     /// Crashes the process: its connections are reset, its calls are cut and new connections are refused.
     pub fn crash(&self) {
         self.0.condition.set(Condition::Dead);
@@ -117,11 +134,8 @@
             port.backlog.borrow_mut().release();
             port.releases_for_next_connection.borrow_mut().clear();
             port.circuits_used.set(0);
-            if port.listener.borrow().is_none() {
-                let rebound = bind_again(port.addr).await?;
-                *port.listener.borrow_mut() = Some(rebound);
-            }
         }
+        self.listen_again().await?;
         let was_cut_off = self.0.condition.replace(Condition::Working) == Condition::CutOff;
         self.record_event(Observation::Working);
         if was_cut_off {
@@ -164,6 +178,17 @@
         }
     }
 
+    /// Opens the listeners that are closed.
+    async fn listen_again(&self) -> io::Result<()> {
+        for port in &self.0.ports {
+            if port.listener.borrow().is_none() {
+                let rebound = bind_again(port.addr).await?;
+                *port.listener.borrow_mut() = Some(rebound);
+            }
+        }
+        Ok(())
+    }
+
     fn close_listeners(&self) {
         for port in &self.0.ports {
             port.listener.borrow_mut().take();
--- a/crates/standin/src/exchange/mod.rs
+++ b/crates/standin/src/exchange/mod.rs
@@ -71,6 +71,8 @@
     port: usize,
     connection: u64,
     established: bool,
+    /// A system in front of the exchange has answered the set-up with a failure.
+    failed_in_front: bool,
 }
 
 struct Inner {
@@ -80,6 +82,8 @@
     number: i64,
     ports: Vec<Port>,
     condition: Cell<Condition>,
+    /// New connections are accepted; otherwise they are refused.
+    accepting: Cell<bool>,
     /// Number of processes that have run at these addresses before; connections of earlier processes stay silent.
     generation: Cell<u64>,
     /// Connections of processes with a lower number than this have been reset.
@@ -137,6 +141,7 @@
             number,
             ports,
             condition: Cell::new(Condition::Working),
+            accepting: Cell::new(true),
             generation: Cell::new(0),
             reset_below_generation: Cell::new(0),
             next_connection: Cell::new(0),
@@ -210,7 +215,7 @@
         loop {
             let accepted = smol::future::or(async { listener.accept().await.ok() }, async {
                 // Stop accepting as soon as another process has replaced this one.
-                while self.0.generation.get() == generation {
+                while self.0.generation.get() == generation && self.0.accepting.get() {
                     sleep(POLL_INTERVAL_S).await;
                 }
                 None
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -48,6 +48,11 @@
         /// Body of the answer.
         description: String,
     },
+    /// A system in front of an exchange wrote a failure for a set-up that the exchange goes on with.
+    FrontAnswered {
+        /// Status code of the answer.
+        status: u16,
+    },
     /// An exchange read a cancel of a set-up, or the connection of the set-up was closed.
     SetUpCancelled,
     /// An established call ended at its exchange.
--- a/tests/deployment/mod.rs
+++ b/tests/deployment/mod.rs
@@ -1,6 +1,8 @@
 //! A deployment for tests of the built program: one proxy, discovery, and exchanges numbered from 1.
 #![allow(dead_code)]
 
+pub mod attempts;
+
 use std::path::Path;
 
 use mallowring_standin::caller::Caller;
--- a/tests/early_retry.rs
+++ b/tests/early_retry.rs
@@ -3,66 +3,18 @@
 
 mod deployment;
 
+use deployment::attempts::assert_attempts_apart;
 use deployment::{call_ids, Deployment};
 use mallowring_standin::exchange::Misbehaviour;
 use mallowring_standin::messages::{CallScript, SetUp};
-use mallowring_standin::record::{now, Observation, Record};
+use mallowring_standin::record::now;
 use mallowring_standin::{run, sleep};
 
-/// The release pause of the deployment in seconds, less the slack of the protocol page ('The rules on sockets').
-const SHORTEST_PAUSE_S: f64 = 0.3 - 0.05;
 /// Answer time of a set-up that has no answer before its caller gives up, in milliseconds.
 const NEVER_MS: u64 = 60_000;
 /// Number of later calls that are answered while the first one waits.
 const LATER_CALLS: u64 = 12;
 
-/// An attempt as its exchange saw it.
-#[derive(Debug)]
-struct Attempt {
-    exchange: String,
-    arrived: f64,
-    /// When the exchange had written its answer, or had read the CANCEL or the end of the connection.
-    ended: f64,
-    /// It was cancelled, so that the release pause has to pass before the next attempt.
-    cancelled: bool,
-}
-
-fn attempts(record: &Record, call: &str) -> Vec<Attempt> {
-    let mut attempts: Vec<Attempt> = Vec::new();
-    for entry in record.entries().into_iter().filter(|entry| entry.call_id == call) {
-        let cancelled = match entry.observation {
-            Observation::SetUpArrived => {
-                let (exchange, arrived) = (entry.observer, entry.at);
-                attempts.push(Attempt { exchange, arrived, ended: f64::INFINITY, cancelled: false });
-                continue;
-            }
-            Observation::SetUpCancelled => true,
-            Observation::SetUpAnswered { .. } => false,
-            _ => continue,
-        };
-        let open = |a: &&mut Attempt| a.exchange == entry.observer && a.ended.is_infinite();
-        if let Some(attempt) = attempts.iter_mut().find(open) {
-            (attempt.ended, attempt.cancelled) = (entry.at, cancelled);
-        }
-    }
-    attempts
-}
-
-/// Asserts that no attempt of a call arrived while an earlier one was out, or within the pause after it.
-fn assert_attempts_apart(deployment: &Deployment, call: &str, scenario: &str) {
-    let attempts = attempts(&deployment.record, call);
-    assert!(!attempts.is_empty(), "{scenario}: no attempt was seen");
-    for pair in attempts.windows(2) {
-        let waited = pair[1].arrived - pair[0].ended;
-        let pause = if pair[0].cancelled { SHORTEST_PAUSE_S } else { 0.0 };
-        assert!(
-            waited >= pause,
-            "{scenario}: sent again {waited:.3} s after its attempt had ended: {attempts:#?}\n{}",
-            deployment.proxy.log()
-        );
-    }
-}
-
 fn set_up(call: &str, answer_ms: u64) -> SetUp {
     let number = CallScript { answer_ms, hold_ms: 60_000 }.called_number();
     SetUp { call_id: call.to_owned(), number, deadline_ms: 2500, destination: 1 }
