Attempt a call again only after what its exchange states of that very attempt

Cause: the evidence of an end was typed by who reported it. Change: recovery/attempt_end.rs names each way in which an attempt can end and what it proves; the decision follows from it alone. recovery/set_ups.rs, without I/O, is the one owner of an exchange's set-ups: only it knows whether one was written, and each ends once. ExchangeDown and a new start end no attempt; calls end by the connection of their answer; start times never go back; a removed, restarted or dead exchange is told of its releases in case it lives. SetUpAbandoned and ExchangeDisconnected are gone; captures have format version 2 and are renewed.

--- a/crates/lab/src/world/flow.rs
+++ b/crates/lab/src/world/flow.rs
@@ -4,6 +4,7 @@
 
 use mallowring::calls::{CallEvent, CallerCommand, ExchangeCommand, SetUp};
 use mallowring::interface::*;
+use mallowring::recovery::attempt_end::AttemptEnd;
 
 use super::processor::{RunState, Task};
 use super::rules::Rule;
@@ -356,7 +357,7 @@
                 id,
                 exchange: exchange_id,
                 leg: Some(number),
-                outcome,
+                end: end_of(outcome),
                 cause: failure_cause,
                 report,
             },
@@ -604,3 +605,16 @@
         self.established_calls = self.established_calls.saturating_add_signed(change);
     }
 }
+
+/// The end of an attempt that a proxy is told of when the model ends it with this outcome.
+fn end_of(outcome: Outcome) -> AttemptEnd {
+    match outcome {
+        Outcome::Refused => AttemptEnd::Refused,
+        Outcome::NotSent => AttemptEnd::NeverLeft,
+        Outcome::Completed | Outcome::Error => AttemptEnd::Error,
+        Outcome::Reset => AttemptEnd::BrokenOnItsWay,
+        Outcome::ConnectFailed => AttemptEnd::NeverSent,
+        Outcome::TimedOut => AttemptEnd::TimedOut,
+        Outcome::Cancelled => AttemptEnd::Cancelled,
+    }
+}
--- a/crates/standin/src/exchange/mod.rs
+++ b/crates/standin/src/exchange/mod.rs
@@ -179,6 +179,11 @@
         self.0.calls.borrow().values().filter(|call| call.established).count()
     }
 
+    /// Returns whether a call is established at the exchange.
+    pub fn holds_call(&self, id: &str) -> bool {
+        self.0.calls.borrow().get(id).is_some_and(|call| call.established)
+    }
+
     /// Returns whether the exchange released a call within the last `seconds`.
     pub fn released_within(&self, seconds: f64) -> bool {
         now() - self.0.last_release_at.get() <= seconds
--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -15,6 +15,7 @@
 pub use table::{Table, MARGIN};
 
 use crate::interface::*;
+use crate::recovery::attempt_end::AttemptEnd;
 
 /// The protocol front end on which a call arrived.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -77,7 +78,7 @@
         /// The session description of the exchange, passed on unchanged.
         description: Arc<[u8]>,
     },
-    /// A set-up has ended without being established: by a final answer of the exchange, or before it was sent.
+    /// A set-up has ended without being established.
     SetUpFailed {
         /// The call.
         id: CallId,
@@ -86,7 +87,7 @@
         /// The attempt, if the protocol identifies it.
         leg: Option<u32>,
         /// How it ended.
-        outcome: Outcome,
+        end: AttemptEnd,
         /// The cause that was given.
         cause: Cause,
         /// The load report that came with the message.
@@ -110,7 +111,7 @@
         /// The state.
         report: LoadReport,
     },
-    /// The process of an exchange has died: its attempts and established calls are cut.
+    /// The process of an exchange has died: its established calls are cut. The ends of set-ups are reported for each.
     ExchangeDown(ExchangeId),
     /// The roster, or changes of it, have arrived.
     Roster {
@@ -123,21 +124,6 @@
     TimerExpired(CallTimer),
     /// The state of the trunk group to an exchange is no longer received.
     StatusLost(ExchangeId),
-    /// A set-up has ended without a final answer of the exchange, such as with its connection. It may still be pending
-    /// there.
-    SetUpAbandoned {
-        /// The call.
-        id: CallId,
-        /// The exchange.
-        exchange: ExchangeId,
-        /// The attempt.
-        leg: u32,
-        /// How it ended for this proxy.
-        outcome: Outcome,
-    },
-    /// This proxy closes all its connections to an exchange: the set-ups in progress there end, and the exchange may
-    /// still read them.
-    ExchangeDisconnected(ExchangeId),
 }
 
 /// What a timer is for.
--- a/src/calls/table.rs
+++ b/src/calls/table.rs
@@ -9,7 +9,8 @@
 };
 use crate::interface::*;
 use crate::logic::Controller;
-use crate::recovery::attempt_end::{earliest_retry, AbandonedCalls, EndEvidence};
+use crate::membership::start_time::latest_start;
+use crate::recovery::attempt_end::{earliest_retry, AbandonedCalls, AttemptEnd};
 use crate::telemetry;
 
 /// A final answer is sent at least this many seconds before the caller stops waiting, so that all of it arrives in
@@ -62,34 +63,33 @@
     telemetry::request_refused(reason);
 }
 
-/// How an attempt ended.
+/// The end of an attempt, with what came with it.
 #[derive(Debug)]
-struct AttemptEnd {
-    outcome: Outcome,
+struct EndedAttempt {
+    end: AttemptEnd,
     cause: Cause,
     report: LoadReport,
-    evidence: EndEvidence,
 }
 
-impl AttemptEnd {
+impl EndedAttempt {
     /// An end without a message of the exchange.
-    fn silent(outcome: Outcome, evidence: EndEvidence) -> Self {
-        AttemptEnd { outcome, cause: Cause::Unspecified, report: LoadReport::default(), evidence }
+    fn without_message(end: AttemptEnd) -> Self {
+        EndedAttempt { end, cause: Cause::Unspecified, report: LoadReport::default() }
     }
 }
 
 /// Logs and counts the end of an attempt that was not answered with success: it explains whether and when the call is
 /// attempted again.
-fn record_attempt_end(id: &CallId, exchange: ExchangeId, attempt: u32, end: &AttemptEnd, elapsed: Secs) {
-    let AttemptEnd { outcome, cause, evidence, .. } = end;
-    telemetry::attempt_ended(outcome.name(), evidence.name());
+fn record_attempt_end(id: &CallId, exchange: ExchangeId, attempt: u32, ended: &EndedAttempt, elapsed: Secs) {
+    let EndedAttempt { end, cause, .. } = ended;
+    telemetry::attempt_ended(end.name(), end.proof().name());
     tracing::info!(
         call = id.0,
         office = exchange.0,
         attempt,
-        outcome = outcome.name(),
+        outcome = end.name(),
         ?cause,
-        evidence = evidence.name(),
+        evidence = end.proof().name(),
         elapsed_s = elapsed,
         "attempt ended"
     );
@@ -252,13 +252,9 @@
             CallEvent::Answered { id, exchange: exchange_id, leg, description } => {
                 self.on_answered(now, id, exchange_id, leg, description, effects);
             }
-            CallEvent::SetUpFailed { id, exchange: exchange_id, leg, outcome, cause, report } => {
-                let end = AttemptEnd { outcome, cause, report, evidence: EndEvidence::FinalAnswer };
-                self.on_set_up_failed(now, id, exchange_id, leg, end, effects);
-            }
-            CallEvent::SetUpAbandoned { id, exchange: exchange_id, leg, outcome } => {
-                let end = AttemptEnd::silent(outcome, EndEvidence::Unconfirmed);
-                self.on_set_up_failed(now, id, exchange_id, Some(leg), end, effects);
+            CallEvent::SetUpFailed { id, exchange: exchange_id, leg, end, cause, report } => {
+                let ended = EndedAttempt { end, cause, report };
+                self.on_set_up_failed(now, id, exchange_id, leg, ended, effects);
             }
             CallEvent::ExchangeReleased { id, exchange: exchange_id, completed: was_completed, report } => {
                 self.on_exchange_released(now, id, exchange_id, was_completed, report, effects);
@@ -275,10 +271,7 @@
                 );
             }
             CallEvent::StatusLost(exchange_id) => self.decide(now, Event::StatusLost(exchange_id), effects),
-            CallEvent::ExchangeDown(exchange_id) => self.on_exchange_down(now, exchange_id, now, effects),
-            CallEvent::ExchangeDisconnected(exchange_id) => {
-                self.on_exchange_disconnected(now, exchange_id, effects);
-            }
+            CallEvent::ExchangeDown(exchange_id) => self.on_exchange_down(now, exchange_id, effects),
             CallEvent::Roster { full: full_roster, entries: roster_entries } => {
                 self.on_roster(now, full_roster, roster_entries, effects)
             }
@@ -385,8 +378,8 @@
     fn on_caller_gave_up(&mut self, now: Time, id: CallId, effects: &mut Vec<CallEffect>) {
         match self.calls.get(&id).map(|c| c.stage.clone()) {
             Some(Stage::Attempting { exchange_id, leg, sent }) => {
-                let end = AttemptEnd::silent(Outcome::Cancelled, EndEvidence::Unconfirmed);
-                record_attempt_end(&id, exchange_id, leg, &end, now - sent);
+                let ended = EndedAttempt::without_message(AttemptEnd::Cancelled);
+                record_attempt_end(&id, exchange_id, leg, &ended, now - sent);
                 effects.push(CallEffect::Exchange(
                     exchange_id,
                     id.clone(),
@@ -421,8 +414,8 @@
             id.clone(),
             ExchangeCommand::Release { leg: Some(leg) },
         ));
-        let end = AttemptEnd::silent(Outcome::Cancelled, EndEvidence::Unconfirmed);
-        self.report_end(now, &id, (exchange_id, leg, sent), end, true, effects);
+        let report = LoadReport::default();
+        self.report_call_end(now, &id, (exchange_id, leg, sent), Outcome::Cancelled, report, effects);
     }
 
     /// Treats a caller's release of a call that is not established yet as giving up.
@@ -477,22 +470,22 @@
         id: CallId,
         exchange_id: ExchangeId,
         leg: Option<u32>,
-        end: AttemptEnd,
+        ended: EndedAttempt,
         effects: &mut Vec<CallEffect>,
     ) {
         if let Some(call) = self.calls.get_mut(&id) {
             if let Stage::Attempting { exchange_id: o, leg: l, sent } = call.stage {
                 if o == exchange_id && leg.is_none_or(|leg| leg == l) {
                     call.stage = Stage::NoAttempt;
-                    call.abandoned |= !end.evidence.permits_retry();
-                    call.not_before = earliest_retry(now, end.outcome, self.settings.release_pause);
-                    record_attempt_end(&id, exchange_id, l, &end, now - sent);
-                    return self.report_end(now, &id, (exchange_id, l, sent), end, false, effects);
+                    call.abandoned |= !ended.end.permits_retry();
+                    call.not_before = earliest_retry(now, ended.end.outcome(), self.settings.release_pause);
+                    record_attempt_end(&id, exchange_id, l, &ended, now - sent);
+                    return self.report_attempt_end(now, &id, (exchange_id, l, sent), ended, effects);
                 }
             }
         }
-        if end.report != LoadReport::default() {
-            let (exchange, report) = (exchange_id, end.report);
+        if ended.report != LoadReport::default() {
+            let (exchange, report) = (exchange_id, ended.report);
             self.decide(now, Event::Status { exchange, ok: true, elapsed: 0.0, report }, effects);
         }
     }
@@ -520,50 +513,46 @@
         self.remove_call(&id, |_| {});
         effects.push(CallEffect::Caller(front, id.clone(), CallerCommand::Release { completed: whole }));
         let outcome = if whole { Outcome::Completed } else { Outcome::Reset };
-        let end = AttemptEnd { report, ..AttemptEnd::silent(outcome, EndEvidence::FinalAnswer) };
-        self.report_end(now, &id, (exchange_id, leg, sent), end, true, effects);
+        self.report_call_end(now, &id, (exchange_id, leg, sent), outcome, report, effects);
     }
 
-    /// The connections to an exchange are closed: the attempts in progress there end as reset.
-    fn on_exchange_disconnected(
-        &mut self,
-        now: Time,
-        exchange_id: ExchangeId,
-        effects: &mut Vec<CallEffect>,
-    ) {
-        let is_attempted_there =
-            |call: &Call| matches!(call.stage, Stage::Attempting { exchange_id: o, .. } if o == exchange_id);
-        let affected: Vec<CallId> = self
-            .calls
-            .iter()
-            .filter(|(_, call)| is_attempted_there(call))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in affected {
-            let end = AttemptEnd::silent(Outcome::Reset, EndEvidence::Unconfirmed);
-            self.on_set_up_failed(now, id, exchange_id, None, end, effects);
+    /// The calls with an attempt in progress at an exchange.
+    fn attempted_at(&self, exchange: ExchangeId) -> Vec<CallId> {
+        self.calls_in(
+            |stage| matches!(stage, Stage::Attempting { exchange_id, .. } if *exchange_id == exchange),
+        )
+    }
+
+    /// The calls established at an exchange.
+    fn established_at(&self, exchange: ExchangeId) -> Vec<CallId> {
+        self.calls_in(
+            |stage| matches!(stage, Stage::Established { exchange_id, .. } if *exchange_id == exchange),
+        )
+    }
+
+    fn calls_in(&self, matches: impl Fn(&Stage) -> bool) -> Vec<CallId> {
+        self.calls.iter().filter(|(_, call)| matches(&call.stage)).map(|(id, _)| id.clone()).collect()
+    }
+
+    /// The process of an exchange has ended: the established calls there are cut. The exchange's actor reports an
+    /// established call before the end of its process, and the calls of the next process after it.
+    fn on_exchange_down(&mut self, now: Time, exchange_id: ExchangeId, effects: &mut Vec<CallEffect>) {
+        for id in self.established_at(exchange_id) {
+            self.on_exchange_released(now, id, exchange_id, false, LoadReport::default(), effects);
         }
     }
 
-    /// The process of an exchange has ended: attempts and calls that were sent to it up to `before` end as reset.
-    fn on_exchange_down(
-        &mut self,
-        now: Time,
-        exchange_id: ExchangeId,
-        before: Time,
-        effects: &mut Vec<CallEffect>,
-    ) {
-        let is_at_exchange = |s: &Stage| match s {
-            Stage::Attempting { exchange_id: o, sent, .. }
-            | Stage::Established { exchange_id: o, sent, .. } => *o == exchange_id && *sent <= before,
-            Stage::NoAttempt => false,
-        };
-        let affected: Vec<_> =
-            self.calls.iter().filter(|(_, c)| is_at_exchange(&c.stage)).map(|(id, _)| id.clone()).collect();
-        for id in affected {
-            self.on_exchange_released(now, id.clone(), exchange_id, false, LoadReport::default(), effects);
-            let end = AttemptEnd::silent(Outcome::Reset, EndEvidence::ProcessEnded);
-            self.on_set_up_failed(now, id, exchange_id, None, end, effects);
+    /// Discovery has removed an exchange. It may still work, cut off from discovery, so its attempts end without proof,
+    /// and it is told that its calls are released.
+    fn on_exchange_removed(&mut self, now: Time, exchange_id: ExchangeId, effects: &mut Vec<CallEffect>) {
+        for id in self.attempted_at(exchange_id) {
+            let ended = EndedAttempt::without_message(AttemptEnd::ExchangeRemoved);
+            self.on_set_up_failed(now, id, exchange_id, None, ended, effects);
+        }
+        for id in self.established_at(exchange_id) {
+            let release = ExchangeCommand::Release { leg: None };
+            effects.push(CallEffect::Exchange(exchange_id, id.clone(), release));
+            self.on_exchange_released(now, id, exchange_id, false, LoadReport::default(), effects);
         }
     }
 
@@ -571,32 +560,31 @@
         &mut self,
         now: Time,
         full_roster: bool,
-        roster_entries: Vec<RosterEntry>,
+        mut roster_entries: Vec<RosterEntry>,
         effects: &mut Vec<CallEffect>,
     ) {
-        let mut down = Vec::new();
+        let mut removed = Vec::new();
         if full_roster {
             for (id, listed) in &mut self.roster {
                 if listed.0 != ServiceState::Removed && !roster_entries.iter().any(|e| e.id == *id) {
                     listed.0 = ServiceState::Removed;
                     self.unavailable_since.entry(*id).or_insert(now);
-                    down.push((*id, now));
+                    removed.push(*id);
                 }
             }
         }
-        for entry in &roster_entries {
+        for entry in &mut roster_entries {
             self.listed_numbers.insert(entry.number);
             if self.settings.own_exchange == Some(entry.number) {
                 self.own_exchanges.insert(entry.id);
             }
+            let known_start = self.roster.get(&entry.id).and_then(|(_, ready_at, _)| *ready_at);
+            entry.ready_at = latest_start(known_start, entry.ready_at);
             let previous = self.roster.insert(entry.id, (entry.state, entry.ready_at, entry.number));
-            let has_restarted = previous.is_some_and(|(_, at, _)| at != entry.ready_at);
             if entry.state == ServiceState::Removed
                 && previous.is_some_and(|(c, ..)| c != ServiceState::Removed)
             {
-                down.push((entry.id, now));
-            } else if has_restarted {
-                down.push((entry.id, entry.ready_at.unwrap_or(now)));
+                removed.push(entry.id);
             }
             if entry.state == ServiceState::InService {
                 self.unavailable_since.remove(&entry.id);
@@ -606,9 +594,8 @@
         }
         let kind = if full_roster { RosterKind::Full } else { RosterKind::Incremental };
         self.decide(now, Event::Roster { kind, entries: roster_entries }, effects);
-        for (exchange_id, before) in down {
-            tracing::info!(office = exchange_id.0, before = before.0, "process of the exchange has ended");
-            self.on_exchange_down(now, exchange_id, before, effects);
+        for exchange_id in removed {
+            self.on_exchange_removed(now, exchange_id, effects);
         }
         // Ids are never reused, so the entries of removed exchanges can be dropped.
         let roster = &mut self.roster;
@@ -646,8 +633,8 @@
                         id.clone(),
                         ExchangeCommand::CancelSetUp { leg },
                     ));
-                    let end = AttemptEnd::silent(Outcome::TimedOut, EndEvidence::Unconfirmed);
-                    self.on_set_up_failed(now, id, exchange_id, Some(leg), end, effects);
+                    let ended = EndedAttempt::without_message(AttemptEnd::TimedOut);
+                    self.on_set_up_failed(now, id, exchange_id, Some(leg), ended, effects);
                 }
             }
             CallTimer::Deadline(id) => {
@@ -669,28 +656,51 @@
         }
     }
 
-    /// Reports to the decision module how an attempt or an established call ended.
-    fn report_end(
+    /// Reports to the decision module how an attempt ended.
+    fn report_attempt_end(
         &mut self,
         now: Time,
         id: &CallId,
-        (exchange_id, leg, sent): (ExchangeId, u32, Time),
-        end: AttemptEnd,
-        is_concluded: bool,
+        (exchange, leg, sent): (ExchangeId, u32, Time),
+        ended: EndedAttempt,
+        effects: &mut Vec<CallEffect>,
+    ) {
+        let result = AttemptResult {
+            id: id.clone(),
+            leg,
+            exchange,
+            outcome: ended.end.outcome(),
+            elapsed: now - sent,
+            cause: ended.cause,
+            retry_after: None,
+            concluded: false,
+            unconfirmed: !ended.end.permits_retry(),
+            report: ended.report,
+        };
+        self.decide(now, Event::AttemptEnded(result), effects);
+    }
+
+    /// Reports to the decision module how an established call ended.
+    fn report_call_end(
+        &mut self,
+        now: Time,
+        id: &CallId,
+        (exchange, leg, sent): (ExchangeId, u32, Time),
+        outcome: Outcome,
+        report: LoadReport,
         effects: &mut Vec<CallEffect>,
     ) {
-        let took = now - sent;
         let result = AttemptResult {
             id: id.clone(),
             leg,
-            exchange: exchange_id,
-            outcome: end.outcome,
-            elapsed: took,
-            cause: end.cause,
+            exchange,
+            outcome,
+            elapsed: now - sent,
+            cause: Cause::Unspecified,
             retry_after: None,
-            concluded: is_concluded,
-            unconfirmed: !end.evidence.permits_retry(),
-            report: end.report,
+            concluded: true,
+            unconfirmed: false,
+            report,
         };
         self.decide(now, Event::AttemptEnded(result), effects);
     }
@@ -731,8 +741,8 @@
                         id.clone(),
                         ExchangeCommand::CancelSetUp { leg },
                     ));
-                    let end = AttemptEnd::silent(Outcome::Cancelled, EndEvidence::Unconfirmed);
-                    self.on_set_up_failed(now, id, exchange_id, Some(leg), end, effects);
+                    let ended = EndedAttempt::without_message(AttemptEnd::Cancelled);
+                    self.on_set_up_failed(now, id, exchange_id, Some(leg), ended, effects);
                 }
             }
             Action::Timer { after, token } => {
@@ -824,8 +834,8 @@
         match call.stage {
             Stage::Established { .. } => return,
             Stage::Attempting { exchange_id, leg, sent } => {
-                let end = AttemptEnd::silent(Outcome::Cancelled, EndEvidence::Unconfirmed);
-                record_attempt_end(&id, exchange_id, leg, &end, now - sent);
+                let ended = EndedAttempt::without_message(AttemptEnd::Cancelled);
+                record_attempt_end(&id, exchange_id, leg, &ended, now - sent);
                 effects.push(CallEffect::Exchange(
                     exchange_id,
                     id.clone(),
--- a/src/capture/frame.rs
+++ b/src/capture/frame.rs
@@ -19,7 +19,7 @@
 use super::Entry;
 
 /// The format version that is written, and the only one that can be read.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
 
 /// The first bytes of a capture.
 const MAGIC: &[u8; 6] = b"MWCAPT";
--- a/src/membership/liveness.rs
+++ b/src/membership/liveness.rs
@@ -106,6 +106,8 @@
     process: Process,
     width: u32,
     established: Time,
+    /// When the connection of its answer was opened.
+    connection_opened: Time,
 }
 
 /// The failure detector of one exchange.
@@ -278,9 +280,9 @@
     /// Records that a call was established by an answer on this connection.
     pub fn call_established(&mut self, now: Time, connection: u64, call: CallId, width: u32) {
         let Some(receiver) = self.connections.get(&connection) else { return };
-        let process = receiver.process;
+        let (process, connection_opened) = (receiver.process, receiver.opened);
         self.renew_lease(process, now);
-        self.calls.insert(call, Call { process, width, established: now });
+        self.calls.insert(call, Call { process, width, established: now, connection_opened });
         // The exchange seizes the circuits of a call, and reports them in its state, before it answers the call.
         self.counts_our_calls |= self.circuits_in_use.is_some() && !self.counts_too_few();
     }
@@ -295,17 +297,25 @@
         }
     }
 
-    /// Records that the exchange restarted at this time: calls established until then have ended.
-    pub fn process_restarted(&mut self, at: Time) {
-        self.calls.retain(|_, call| call.established > at);
-        let processes: Vec<Process> = self.last_alive.keys().copied().collect();
-        processes.into_iter().for_each(|process| self.remove_if_unused(process));
+    /// Records that the process of the exchange started at this time. Returns the calls that have ended: those
+    /// established on connections from before, which led to an earlier process.
+    pub fn process_restarted(&mut self, at: Time) -> Vec<CallId> {
+        let of_earlier_process = |(_, call): &(&CallId, &Call)| call.connection_opened < at;
+        let ended: Vec<CallId> =
+            self.calls.iter().filter(of_earlier_process).map(|(id, _)| id.clone()).collect();
+        self.remove_calls(&ended);
+        ended
+    }
+
+    /// Records that the process has died. Returns the calls that have ended: all of them.
+    pub fn process_died(&mut self) -> Vec<CallId> {
+        let ended: Vec<CallId> = self.calls.keys().cloned().collect();
+        self.remove_calls(&ended);
+        ended
     }
 
-    /// Records that the process has died: all calls have ended.
-    pub fn process_died(&mut self) {
-        let calls = std::mem::take(&mut self.calls);
-        for call in calls.into_values() {
+    fn remove_calls(&mut self, ended: &[CallId]) {
+        for call in ended.iter().filter_map(|id| self.calls.remove(id)).collect::<Vec<_>>() {
             self.remove_if_unused(call.process);
         }
     }
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -15,6 +15,7 @@
 use crate::calls::tenants::{Change, ChangeError, Counts, Tenant};
 use crate::calls::{CallEffect, CallEvent, ExchangeCommand, Front, Table};
 use crate::interface::*;
+use crate::recovery::attempt_end::AttemptEnd;
 use crate::recovery::shutdown::Shutdown;
 use crate::telemetry;
 
@@ -114,11 +115,6 @@
                     if full {
                         entries.extend(self.sip_exchanges.iter().cloned());
                     }
-                    // A removed exchange may still work, cut off from discovery.
-                    for exchange in &removed {
-                        let disconnected = CallEvent::ExchangeDisconnected(*exchange);
-                        self.table.handle(now, disconnected, &mut effects);
-                    }
                     self.table.handle(now, CallEvent::Roster { full, entries }, &mut effects);
                     self.apply_effects(&mut effects, &peers).await;
                     for exchange_id in removed {
@@ -281,16 +277,10 @@
                             };
                         if let (false, Some(leg)) = (delivered_to_exchange, set_up_leg) {
                             tracing::warn!(office = exchange_id.0, "exchange has no actor: set-up not sent");
-                            let (outcome, cause) = (Outcome::ConnectFailed, Cause::Unspecified);
+                            let (end, cause) = (AttemptEnd::NeverSent, Cause::Unspecified);
                             let (leg, report) = (Some(leg), LoadReport::default());
-                            let input = CallEvent::SetUpFailed {
-                                id,
-                                exchange: exchange_id,
-                                leg,
-                                outcome,
-                                cause,
-                                report,
-                            };
+                            let exchange = exchange_id;
+                            let input = CallEvent::SetUpFailed { id, exchange, leg, end, cause, report };
                             self.table.handle(self.clock.now(), input, effects);
                         }
                     }
--- a/src/net/peer/connections.rs
+++ b/src/net/peer/connections.rs
@@ -5,7 +5,7 @@
 use smol::net::TcpStream;
 
 use super::{Peer, PeerActorMessage, PeerConnection, MAX_CONNECTIONS};
-use crate::calls::{CallEvent, ExchangeCommand};
+use crate::calls::CallEvent;
 use crate::interface::*;
 use crate::limits::connections::Purpose;
 use crate::membership::liveness::CloseKind;
@@ -33,7 +33,7 @@
             if connection_count >= MAX_CONNECTIONS {
                 return;
             }
-            let needed = !self.queued_commands.is_empty() || self.liveness.call_count() > 0;
+            let needed = self.is_busy();
             let purpose = match connection_count {
                 0 if needed => Purpose::Needed,
                 0 => Purpose::Idle,
@@ -68,7 +68,7 @@
         self.context.tasks.spawn(connect).detach();
     }
 
-    pub(super) fn connected(&mut self, stream: TcpStream, permit: Permit) {
+    pub(super) async fn connected(&mut self, stream: TcpStream, permit: Permit) {
         self.connecting -= 1;
         self.last_connection_lost = false;
         self.next_connection_id += 1;
@@ -94,7 +94,6 @@
             has_received: false,
             last_answer: connected_at,
             failure_signs: u32::from(is_verifying),
-            pending_set_ups: Default::default(),
         };
         self.connections.insert(connection_id, connection);
         self.liveness.connection_opened(connected_at, connection_id);
@@ -102,13 +101,7 @@
             self.verifying_connection = Some(connection_id);
         }
         tracing::debug!(office = self.exchange.0, connection = connection_id, addr = %self.addr, "connected");
-        for (id, command) in std::mem::take(&mut self.queued_commands) {
-            if let ExchangeCommand::SetUp(set_up) = &command {
-                let (office, call, attempt) = (self.exchange.0, &id.0, set_up.leg);
-                tracing::info!(office, call, attempt, connection = connection_id, "queued set-up sent");
-            }
-            self.send_command(id, command);
-        }
+        self.send_queued().await;
     }
 
     /// Handles a failed attempt to connect. If no connection is left, the queued set-ups fail, as none of them was
@@ -117,14 +110,14 @@
         self.connecting -= 1;
         self.verify_next = false;
         telemetry::exchange_connect_failed(&error);
-        let queued = self.queued_commands.len();
+        let queued = self.set_ups.waiting_count() + self.queued_releases.len();
         if queued > 0 || self.last_connection_lost {
             tracing::info!(office = self.exchange.0, %error, queued, "connecting to the exchange failed");
         } else {
             tracing::debug!(office = self.exchange.0, %error, "connecting to the exchange failed");
         }
         if self.connections.is_empty() && self.connecting == 0 {
-            self.fail_queued_set_ups().await;
+            self.end_waiting_set_ups().await;
             // A timeout proves less than a refusal: the liveness lease decides on the calls.
             let refused = error.kind() == std::io::ErrorKind::ConnectionRefused;
             if refused && std::mem::take(&mut self.last_connection_lost) {
@@ -137,8 +130,12 @@
     async fn exchange_died(&mut self) {
         tracing::warn!(office = self.exchange.0, "exchange process is dead: its calls are released");
         self.last_connection_lost = false;
-        self.liveness.process_died();
+        let calls = self.liveness.process_died();
         self.send_event(CallEvent::ExchangeDown(self.exchange)).await;
+        // A refused connection may have another reason: a process that lives on has to release its calls as well.
+        if self.service_state == ServiceState::InService {
+            calls.into_iter().for_each(|id| self.release_at_exchange(id));
+        }
     }
 
     pub(super) async fn connection_lost(
@@ -152,24 +149,19 @@
         self.liveness.connection_closed(self.now(), connection_id, ending);
         self.verifying_connection = self.verifying_connection.filter(|verifying| *verifying != connection_id);
         telemetry::exchange_connection_lost();
-        if ended_by_proxy {
-            // The exchange may have answered these set-ups, perhaps in the message that could not be read. A release
-            // makes sure that it keeps no call established.
-            for (id, invite) in &lost.pending_set_ups {
-                let release = ExchangeCommand::Release { leg: Some(invite.leg) };
-                match self.connections.is_empty() {
-                    true => self.queued_commands.push_back((id.clone(), release)),
-                    false => self.send_command(id.clone(), release),
-                }
-            }
-        }
+        let ended = self.set_ups.connection_ended(connection_id);
         tracing::info!(
             office = self.exchange.0,
             connection = connection_id,
             why = reason,
-            open = lost.pending_set_ups.len(),
+            open = ended.len(),
             "connection to the exchange lost"
         );
+        if ended_by_proxy {
+            // The exchange may have answered these set-ups, perhaps in the message that could not be read. A release
+            // makes sure that it keeps no call established.
+            ended.iter().for_each(|set_up| self.release_at_exchange(set_up.id.clone()));
+        }
         let last = self.connections.is_empty();
         self.last_connection_lost |= last;
         match lost.has_received {
@@ -177,7 +169,9 @@
             // It came up and ended before the exchange was heard: another one at once may end the same way.
             false => self.schedule_reconnect(RECONNECT_DELAY),
         }
-        self.abandon_pending_set_ups(lost).await;
+        for set_up in ended {
+            self.report_end(set_up).await;
+        }
         if last && self.service_state == ServiceState::Draining {
             // A draining exchange has stopped. A process that listens at its address later is another exchange, with
             // its own roster entry.
@@ -185,11 +179,10 @@
         }
     }
 
-    /// Reports the set-ups that were pending on a connection that has ended. The exchange may notice its end later.
-    pub(super) async fn abandon_pending_set_ups(&mut self, connection: PeerConnection) {
-        for (id, invite) in connection.pending_set_ups {
-            let (exchange, leg, outcome) = (self.exchange, invite.leg, Outcome::Reset);
-            self.send_event(CallEvent::SetUpAbandoned { id, exchange, leg, outcome }).await;
+    /// Ends the set-ups that were pending on a connection, which has ended.
+    pub(super) async fn end_pending_set_ups(&mut self, connection_id: u64) {
+        for ended in self.set_ups.connection_ended(connection_id) {
+            self.report_end(ended).await;
         }
     }
 
@@ -204,7 +197,7 @@
     /// arrive on it.
     pub(super) fn replace_failing(&mut self, connection_id: u64) {
         let Some(connection) = self.connections.get(&connection_id) else { return };
-        if connection.failure_signs == 0 || !connection.pending_set_ups.is_empty() {
+        if connection.failure_signs == 0 || self.set_ups.pending_on(connection_id) > 0 {
             return;
         }
         if self.liveness.call_count() > 0 && !self.is_heard_elsewhere(connection_id, connection.last_received)
@@ -242,10 +235,9 @@
 
     /// The connection without pending set-ups that has been quiet the longest.
     fn quietest(&self, keep: Option<u64>) -> Option<u64> {
-        let idle = self
-            .connections
-            .iter()
-            .filter(|(connection_id, c)| Some(**connection_id) != keep && c.pending_set_ups.is_empty());
+        let idle = self.connections.iter().filter(|(connection_id, _)| {
+            Some(**connection_id) != keep && self.set_ups.pending_on(**connection_id) == 0
+        });
         idle.min_by(|(_, a), (_, b)| a.last_received.0.total_cmp(&b.last_received.0))
             .map(|(connection_id, _)| *connection_id)
     }
--- a/src/net/peer/mod.rs
+++ b/src/net/peer/mod.rs
@@ -5,7 +5,7 @@
 mod connections;
 mod watch;
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +23,7 @@
 use crate::interface::*;
 use crate::limits::connections::MAX_PER_EXCHANGE;
 use crate::membership::liveness::{CloseKind, FailureDetector, Timing};
+use crate::recovery::set_ups::{EndedSetUp, SetUps};
 use crate::sip::message::Message;
 
 /// Most connections to one exchange. With several, the failure of one ends only the set-ups pending on it. An
@@ -86,20 +87,6 @@
     /// Number of signs of failure since then: set-ups that were overtaken or timed out, missing states, and a first
     /// state that is awaited.
     failure_signs: u32,
-    /// Set-ups sent on it that are not answered.
-    pending_set_ups: BTreeMap<CallId, PendingInvite>,
-}
-
-/// A set-up that was sent and is not answered.
-struct PendingInvite {
-    leg: u32,
-    width: u32,
-    sent_at: Time,
-    expires_at: Time,
-    /// It goes straight to its destination and so waits at this exchange alone, mostly in the order of sending.
-    direct: bool,
-    /// A later direct set-up was answered before it.
-    overtaken: bool,
 }
 
 /// State of the actor.
@@ -120,12 +107,13 @@
     reconnect_scheduled: bool,
     /// The only remaining connection was lost, and no new one has been opened since.
     last_connection_lost: bool,
-    /// The latest sending time of a direct set-up that was answered with success.
-    latest_answered_send: Time,
-    /// Commands that wait for a connection.
-    queued_commands: VecDeque<(CallId, ExchangeCommand)>,
-    /// The latest set-ups that were cancelled; an answer may have crossed the CANCEL.
-    cancelled: VecDeque<CallId>,
+    /// The start time of the process, as far as discovery has given one.
+    started_at: Option<Time>,
+    /// The set-ups that wait for a connection or are pending on one.
+    set_ups: SetUps,
+    /// Calls whose releases wait for a connection. Their number has no limit of its own: each belongs to a call whose
+    /// record counted against the limit of the call table.
+    queued_releases: Vec<CallId>,
     liveness: FailureDetector,
     /// When the next liveness check is due, if one is scheduled.
     next_check_at: Option<Time>,
@@ -155,9 +143,9 @@
         connecting: 0,
         reconnect_scheduled: false,
         last_connection_lost: false,
-        latest_answered_send: context.clock.now(),
-        queued_commands: VecDeque::new(),
-        cancelled: VecDeque::new(),
+        started_at: None,
+        set_ups: SetUps::new(context.clock.now()),
+        queued_releases: Vec::new(),
         liveness: FailureDetector::new(Timing::default()),
         next_check_at: None,
         check_postponed: false,
@@ -189,7 +177,7 @@
             PeerActorMessage::Command(id, command) => self.command(id, command).await,
             PeerActorMessage::StateChanged(service_state) => self.set_service_state(service_state).await,
             PeerActorMessage::StartedAt(at) => self.exchange_restarted(at).await,
-            PeerActorMessage::Connected(Ok(stream), permit) => self.connected(stream, permit),
+            PeerActorMessage::Connected(Ok(stream), permit) => self.connected(stream, permit).await,
             PeerActorMessage::Connected(Err(error), permit) => {
                 drop(permit);
                 self.connect_failed(error).await;
@@ -215,15 +203,15 @@
         }
     }
 
-    /// Ends the actor after the exchange was removed. Queued messages are still sent before the connections close.
+    /// Ends the actor after the exchange was removed. Messages in the send queues are still sent before the connections
+    /// close.
     async fn shut_down(mut self) {
         tracing::info!(office = self.exchange.0, addr = %self.addr, "exchange removed from the roster");
         self.service_state = ServiceState::Removed;
         self.context.permits.remove_exchange(self.exchange);
-        let connections = std::mem::take(&mut self.connections);
-        self.fail_queued_set_ups().await;
-        for connection in connections.into_values() {
-            self.abandon_pending_set_ups(connection).await;
+        self.end_waiting_set_ups().await;
+        for connection_id in std::mem::take(&mut self.connections).into_keys() {
+            self.end_pending_set_ups(connection_id).await;
         }
     }
 
@@ -231,14 +219,28 @@
         self.service_state = service_state;
         if service_state == ServiceState::Draining {
             // A draining exchange must get no new set-ups, not even those that waited for a connection.
-            self.fail_queued_set_ups().await;
+            self.end_waiting_set_ups().await;
         }
     }
 
-    /// The roster reports a new start of the process. If the old machine vanished, its connections are still open and
-    /// silent, so those from before the start are closed.
-    async fn exchange_restarted(&mut self, at: Time) {
-        self.liveness.process_restarted(at);
+    /// The roster reports a start of the process. Only a later start than the known one is a new one: the connections
+    /// from before it lead to an earlier process, whose calls have ended. If discovery is wrong about the process, it
+    /// learns of the releases.
+    async fn exchange_restarted(&mut self, told: Time) {
+        let at = Time(told.0.min(self.now().0));
+        if self.started_at.is_some_and(|known| known >= at) {
+            return;
+        }
+        self.started_at = Some(at);
+        for id in self.liveness.process_restarted(at) {
+            tracing::info!(
+                office = self.exchange.0,
+                call = id.0,
+                "call released: its exchange has restarted"
+            );
+            self.release_at_exchange(id.clone());
+            self.report_cut(id).await;
+        }
         let older = self.connections.iter().filter(|(_, c)| c.connected_at < at);
         let stale: Vec<u64> = older.map(|(connection_id, _)| *connection_id).collect();
         for connection_id in stale {
@@ -247,10 +249,9 @@
                 connection = connection_id,
                 "exchange restarted: old connection closed"
             );
+            self.connections.remove(&connection_id);
             self.liveness.connection_closed(self.now(), connection_id, CloseKind::Other);
-            if let Some(connection) = self.connections.remove(&connection_id) {
-                self.abandon_pending_set_ups(connection).await;
-            }
+            self.end_pending_set_ups(connection_id).await;
         }
         self.connect();
     }
@@ -284,8 +285,7 @@
 
     /// Set-ups are pending or queued, or calls are established at the exchange.
     fn is_busy(&self) -> bool {
-        let open = self.connections.values().any(|c| !c.pending_set_ups.is_empty());
-        open || !self.queued_commands.is_empty() || self.liveness.call_count() > 0
+        !self.set_ups.is_empty() || !self.queued_releases.is_empty() || self.liveness.call_count() > 0
     }
 
     fn report_use(&mut self) {
@@ -311,23 +311,17 @@
         post(&self.context.engine, EngineMessage::Input(input)).await;
     }
 
-    async fn set_up_failed(
-        &self,
-        id: CallId,
-        leg: Option<u32>,
-        outcome: Outcome,
-        reason: Cause,
-        report: LoadReport,
-    ) {
-        self.send_event(CallEvent::SetUpFailed {
-            id,
-            exchange: self.exchange,
-            leg,
-            outcome,
-            cause: reason,
-            report,
-        })
-        .await;
+    /// Reports the end of a set-up without a message of the exchange.
+    async fn report_end(&self, ended: EndedSetUp) {
+        let EndedSetUp { id, leg, end } = ended;
+        let (exchange, cause, report) = (self.exchange, Cause::Unspecified, LoadReport::default());
+        self.send_event(CallEvent::SetUpFailed { id, exchange, leg: Some(leg), end, cause, report }).await;
+    }
+
+    /// Reports that an established call is cut.
+    async fn report_cut(&self, id: CallId) {
+        let (exchange, report) = (self.exchange, LoadReport::default());
+        self.send_event(CallEvent::ExchangeReleased { id, exchange, completed: false, report }).await;
     }
 
     fn write(&self, connection_id: u64, message: &Message) {
--- a/src/net/peer/watch.rs
+++ b/src/net/peer/watch.rs
@@ -1,7 +1,7 @@
 //! Runs the failure detector of an exchange ([`crate::membership::liveness`]) and carries out its decisions.
 
 use super::{Peer, PeerActorMessage, MAX_CONNECTIONS};
-use crate::calls::{CallEvent, ExchangeCommand};
+use crate::calls::ExchangeCommand;
 use crate::interface::*;
 use crate::limits::connections::Purpose;
 use crate::membership::liveness::{CloseKind, Effect};
@@ -28,8 +28,7 @@
         }
         if message.method() == Some("NOTIFY") {
             let report = super::calls::report_of(message);
-            let pending = self.connections.values().flat_map(|c| c.pending_set_ups.values());
-            self.liveness.set_pending_circuits(pending.map(|invite| invite.width).sum());
+            self.liveness.set_pending_circuits(self.set_ups.pending_circuits());
             self.liveness.state_received(now, connection_id, &report);
         } else {
             self.liveness.message_received(now, connection_id);
@@ -135,14 +134,7 @@
         telemetry::exchange_lease_expired(calls.len());
         for id in &calls {
             tracing::debug!(office, call = id.0, "call released: liveness lease of its exchange expired");
-            let (id, report) = (id.clone(), LoadReport::default());
-            self.send_event(CallEvent::ExchangeReleased {
-                id,
-                exchange: self.exchange,
-                completed: false,
-                report,
-            })
-            .await;
+            self.report_cut(id.clone()).await;
         }
         for connection_id in connections {
             self.connection_lost(connection_id, "silent".to_owned(), false, CloseKind::Other).await;
--- a/src/recovery/mod.rs
+++ b/src/recovery/mod.rs
@@ -1,4 +1,5 @@
-//! Recovery: what may follow a failed attempt, and the orderly shutdown of a proxy. No I/O.
+//! Recovery: how attempts end, what may follow, and the orderly shutdown of a proxy. No I/O.
 
 pub mod attempt_end;
+pub mod set_ups;
 pub mod shutdown;
--- a/src/sip/agent.rs
+++ b/src/sip/agent.rs
@@ -12,9 +12,10 @@
     self, TransactionFailure, TransactionKey, TransactionLayer, TransactionOutput, T1, T2,
     TRANSACTION_TIMEOUT,
 };
-use super::{failure_outcome, q850_cause};
+use super::{failure_cause, q850_cause};
 use crate::calls::{CallEvent, CallerCommand, ExchangeCommand, Front, RejectReason, Request, SetUp};
 use crate::interface::*;
+use crate::recovery::attempt_end::AttemptEnd;
 
 /// The value of the Allow header.
 const ALLOW: &str = "INVITE, ACK, CANCEL, BYE, OPTIONS";
@@ -694,19 +695,20 @@
             _ => {
                 let Some((id, leg)) = attempt else { return };
                 let x_outcome = message.get("X-Outcome");
-                let (outcome, cause) = match status {
-                    _ if x_outcome.is_some() => failure_outcome(status, x_outcome),
-                    486 | 600 => (Outcome::Error, Cause::LinesBusy),
-                    503 => (Outcome::Refused, Cause::ProcessorFull),
-                    _ => failure_outcome(status, None),
+                let cause = match status {
+                    _ if x_outcome.is_some() => failure_cause(x_outcome),
+                    486 | 600 => Cause::LinesBusy,
+                    503 => Cause::ProcessorFull,
+                    _ => Cause::Unspecified,
                 };
+                let end = AttemptEnd::from_sip_status(status);
                 if let Some(exchange) = self.remove_exchange_side(&(id.clone(), leg), out) {
                     let (leg, report) = (Some(leg), LoadReport::default());
                     out.push(AgentOutput::CallTable(CallEvent::SetUpFailed {
                         id,
                         exchange,
                         leg,
-                        outcome,
+                        end,
                         cause,
                         report,
                     }));
@@ -765,20 +767,13 @@
     fn on_failed(&mut self, key: &TransactionKey, failure: TransactionFailure, out: &mut Vec<AgentOutput>) {
         let Some((id, leg)) = self.attempts_by_client_key.get(key).cloned() else { return };
         let Some(exchange) = self.remove_exchange_side(&(id.clone(), leg), out) else { return };
-        let abandoned = |id, outcome| CallEvent::SetUpAbandoned { id, exchange, leg, outcome };
-        let event = match failure {
-            TransactionFailure::Timeout => abandoned(id, Outcome::TimedOut),
-            TransactionFailure::ConnectionLost => abandoned(id, Outcome::Reset),
-            TransactionFailure::Unreachable => CallEvent::SetUpFailed {
-                id,
-                exchange,
-                leg: Some(leg),
-                outcome: Outcome::ConnectFailed,
-                cause: Cause::Unspecified,
-                report: LoadReport::default(),
-            },
+        let end = match failure {
+            TransactionFailure::Timeout => AttemptEnd::TimedOut,
+            TransactionFailure::ConnectionLost => AttemptEnd::ConnectionEnded,
+            TransactionFailure::Unreachable => AttemptEnd::NeverSent,
         };
-        out.push(AgentOutput::CallTable(event));
+        let (leg, cause, report) = (Some(leg), Cause::Unspecified, LoadReport::default());
+        out.push(AgentOutput::CallTable(CallEvent::SetUpFailed { id, exchange, leg, end, cause, report }));
     }
 }
 
--- a/src/sip/mod.rs
+++ b/src/sip/mod.rs
@@ -7,29 +7,19 @@
 pub mod message;
 pub mod transaction;
 
-use crate::interface::{Cause, Outcome};
+use crate::interface::Cause;
 use message::Message;
 
-/// Maps the failure response of an exchange, its status code and `X-Outcome` header, to the outcome of the
-/// attempt.
-pub(crate) fn failure_outcome(status: u16, x_outcome: Option<&str>) -> (Outcome, Cause) {
-    let outcome = match status {
-        503 => Outcome::Refused,
-        480 => Outcome::NotSent,
-        504 => Outcome::Reset,
-        487 => Outcome::Cancelled,
-        408 => Outcome::TimedOut,
-        _ => Outcome::Error,
-    };
-    let cause = match x_outcome.map(str::trim) {
+/// The cause that the `X-Outcome` header of a failure response names.
+pub(crate) fn failure_cause(x_outcome: Option<&str>) -> Cause {
+    match x_outcome.map(str::trim) {
         Some("no_circuit") => Cause::NoCircuit,
         Some("turned_back") => Cause::Crankback,
         Some("far_overload") => Cause::FarProcessorFull,
         Some("overload") => Cause::ProcessorFull,
         Some("lines_busy") => Cause::LinesBusy,
         _ => Cause::Unspecified,
-    };
-    (outcome, cause)
+    }
 }
 
 /// Returns the cause N of a `Reason: Q.850;cause=N` header (RFC 3326).
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -161,8 +161,8 @@
     metrics::counter!(FURTHER_ATTEMPTS).increment(1);
 }
 
-/// Counts an answer that arrived after its set-up was cancelled.
-pub fn answered_after_cancel() {
+/// Counts an answer that arrived after its set-up had ended without confirmation.
+pub fn answered_after_end() {
     metrics::counter!(ANSWERS_AFTER_CANCEL).increment(1);
 }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -594,16 +594,19 @@
         "answer" => {
             let a: AnswerMessage = decode(name, body)?;
             let (failure_cause, named_wait) = parse_cause(a.why, instance.retry_after_provided);
+            let outcome = parse_outcome(a.verdict)?;
+            // The same ends as on sockets permit no further attempt, though the simulator would allow one.
+            let unconfirmed = matches!(outcome, Outcome::Reset | Outcome::TimedOut | Outcome::Cancelled);
             Event::AttemptEnded(AttemptResult {
                 id: CallId(a.request_id),
                 leg: a.leg,
                 exchange: ExchangeId(a.office),
-                outcome: parse_outcome(a.verdict)?,
+                outcome,
                 elapsed: a.cost_time,
                 cause: failure_cause,
                 retry_after: named_wait,
                 concluded: a.closed,
-                unconfirmed: false,
+                unconfirmed,
                 report: parse_report(&a.server_stats),
             })
         }
