--- a/crates/standin/src/exchange/calls.rs
+++ b/crates/standin/src/exchange/calls.rs
@@ -92,6 +92,13 @@
             self.remove_call(&id);
             return self.record_call_event(port_index, &id, Observation::SetUpCancelled);
         }
+        if self.0.misbehaviour.get().errors {
+            self.remove_call(&id);
+            let description = String::new();
+            self.record_call_event(port_index, &id, Observation::SetUpAnswered { status: 500, description });
+            let error = Message::response(500, "Server Internal Error", &set_up.headers);
+            return self.send_answer(port_index, connection, &error);
+        }
         let description = format!("answer-{}-{id}", self.0.name);
         let mut answer = Message::response(200, "OK", &set_up.headers);
         answer.body = description.clone().into_bytes();
--- a/crates/standin/src/exchange/faults.rs
+++ b/crates/standin/src/exchange/faults.rs
@@ -32,6 +32,8 @@
     /// A system in front of the exchange answers a set-up with 504 this many seconds after the exchange has read it,
     /// unless it is answered before. The exchange goes on with the set-up, but its answer no longer arrives.
     pub front_timeout: Option<f64>,
+    /// Answer every set-up with 500, an error.
+    pub errors: bool,
 }
 
 impl Exchange {
--- a/tests/attempt_ends.rs
+++ b/tests/attempt_ends.rs
@@ -181,6 +181,28 @@
     });
 }
 
+/// Guards against a repeated answer to one attempt that ends the next one at the same exchange: answers name only the
+/// call, so the next attempt waits on another connection.
+#[test]
+fn a_repeated_error_ends_no_further_attempt() {
+    run(async |tasks| {
+        let deployment = Deployment::start(tasks, 3).await;
+        let caller = deployment.caller("c").await;
+        let calls = call_ids(4, 12);
+        let faults = Misbehaviour { errors: true, duplicate_answers: true, ..Misbehaviour::default() };
+        for exchange in &deployment.exchanges {
+            exchange.set_misbehaviour(faults);
+        }
+        for id in &calls {
+            call(&caller, id, 60).await;
+            sleep(0.03).await;
+        }
+        assert_one_attempt_at_a_time(&deployment, &calls, "errors were repeated").await;
+        let again = calls.iter().filter(|id| attempts(&deployment.record, id).len() > 1).count();
+        assert!(again > 0, "no call was attempted again");
+    });
+}
+
 /// Guards against a set-up that is on its way to the connections of an exchange while they notice the death of its
 /// process: it goes out to the next process, beside a further attempt of its call.
 #[test]
