Soak: fronts that answer 504, false start times, listed gone while alive, refused connects, stalls

Change: seven faults: front-timeouts, error-answers (each twice), start-times, listed-gone, refuse-connects beside a living process, stall-exchange and stall-trial (0.2 to 0.6 s). One call in eight is answered slowly, so that faults meet pending set-ups.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -36,6 +36,20 @@
     AcceptsLate,
     /// An exchange sends releases on another connection than that of the set-up.
     ReleasesElsewhere,
+    /// A system in front of an exchange answers set-ups with 504, and the exchange works on.
+    FrontTimeouts,
+    /// An exchange answers set-ups with an error, every one twice.
+    ErrorAnswers,
+    /// Discovery gives start times of a living exchange that go away, go back, or are wrong.
+    StartTimes,
+    /// Discovery lists an exchange as gone that lives, and later as ready again.
+    ListedGone,
+    /// An exchange refuses new connections and resets open ones, and its process lives on with its calls.
+    RefuseConnects,
+    /// The process of an exchange stalls for a moment.
+    StallExchange,
+    /// All stand-ins of the trial stall for a moment: exchanges, discovery and callers.
+    StallTrial,
     /// One connection to an exchange is reset.
     Reset,
     /// One connection to an exchange is closed.
@@ -74,7 +88,7 @@
 
 impl FaultKind {
     /// All kinds, in the order in which plans draw from them.
-    pub const ALL: [FaultKind; 31] = [
+    pub const ALL: [FaultKind; 38] = [
         FaultKind::Vanish,
         FaultKind::CutOff,
         FaultKind::Hang,
@@ -89,6 +103,13 @@
         FaultKind::Pieces,
         FaultKind::AcceptsLate,
         FaultKind::ReleasesElsewhere,
+        FaultKind::FrontTimeouts,
+        FaultKind::ErrorAnswers,
+        FaultKind::StartTimes,
+        FaultKind::ListedGone,
+        FaultKind::RefuseConnects,
+        FaultKind::StallExchange,
+        FaultKind::StallTrial,
         FaultKind::Reset,
         FaultKind::Close,
         FaultKind::SilentConnection,
@@ -125,6 +146,13 @@
             FaultKind::Pieces => "pieces",
             FaultKind::AcceptsLate => "accepts-late",
             FaultKind::ReleasesElsewhere => "releases-elsewhere",
+            FaultKind::FrontTimeouts => "front-timeouts",
+            FaultKind::ErrorAnswers => "error-answers",
+            FaultKind::StartTimes => "start-times",
+            FaultKind::ListedGone => "listed-gone",
+            FaultKind::RefuseConnects => "refuse-connects",
+            FaultKind::StallExchange => "stall-exchange",
+            FaultKind::StallTrial => "stall-trial",
             FaultKind::Reset => "reset",
             FaultKind::Close => "close",
             FaultKind::SilentConnection => "silent-connection",
@@ -159,6 +187,7 @@
             | FaultKind::SlowWriters
             | FaultKind::BadCallers
             | FaultKind::Crowd => Target::Proxy,
+            FaultKind::StallTrial => Target::Trial,
             _ => Target::Exchange,
         }
     }
@@ -176,6 +205,9 @@
             // Final answers up to half a second late are no breach (STANDING, 'The whole fleet').
             FaultKind::Stop => (0.05, 0.4),
             FaultKind::Hang => (0.3, 12.0),
+            FaultKind::StallExchange | FaultKind::StallTrial => (0.2, 0.6),
+            FaultKind::ListedGone => (0.5, 4.0),
+            FaultKind::RefuseConnects => (0.2, 3.0),
             FaultKind::Die | FaultKind::ReplaceAtAddress => (0.2, 4.0),
             FaultKind::Drain => (1.0, 4.0),
             FaultKind::DiscoveryDown | FaultKind::DiscoverySilent => (1.0, 9.0),
@@ -200,6 +232,8 @@
     Proxy,
     /// The discovery services of all proxies.
     Discovery,
+    /// All stand-ins of the trial.
+    Trial,
 }
 
 impl FromStr for FaultKind {
--- a/crates/soak/src/judge/calls.rs
+++ b/crates/soak/src/judge/calls.rs
@@ -16,14 +16,21 @@
     Some(Breach { rule, at, proxy: call.proxy, call: call.id.to_owned(), details })
 }
 
-/// Returns all breaches of one call.
-pub fn check(call: &CallHistory, context: &TrialContext, parameters: &DeploymentParameters) -> Vec<Breach> {
+/// Returns the breaches of the rules that concern the order of events and no time limit. A stall of the trial, during
+/// which observations are late, changes none of them: an exchange's answer is recorded before it is written.
+pub fn check_order(call: &CallHistory, parameters: &DeploymentParameters) -> Vec<Breach> {
     let mut breaches: Vec<Breach> = Vec::new();
-    breaches.extend(answer(call, context));
     breaches.extend(second_answer(call));
     breaches.extend(description(call));
     breaches.extend(one_attempt(call));
     breaches.extend(attempts(call, parameters));
+    breaches
+}
+
+/// Returns all breaches of one call.
+pub fn check(call: &CallHistory, context: &TrialContext, parameters: &DeploymentParameters) -> Vec<Breach> {
+    let mut breaches = check_order(call, parameters);
+    breaches.extend(answer(call, context));
     breaches.extend(pause(call, parameters));
     breaches.extend(sent_after_answer(call, context));
     breaches.extend(call.attempts.iter().filter_map(|attempt| drain(call, attempt, context, parameters)));
@@ -155,7 +162,7 @@
     context: &TrialContext,
     parameters: &DeploymentParameters,
 ) -> Option<Breach> {
-    let informed_at = context.considered_informed_at(call.proxy, &attempt.exchange)?;
+    let informed_at = context.considered_informed_at(call.proxy, &attempt.exchange, attempt.at)?;
     let late = attempt.at - informed_at - parameters.drain_grace_s - TOLERANCE_S;
     // A send is counted from its first byte (PROTOCOL, 'Figures'), which the network may have held back.
     if late <= 0.0 || context.was_network_disturbed(&attempt.exchange, informed_at, attempt.at) {
--- a/crates/soak/src/judge/mod.rs
+++ b/crates/soak/src/judge/mod.rs
@@ -134,7 +134,9 @@
     pub breaches: Vec<Breach>,
     /// Number of calls judged.
     pub judged: usize,
-    /// Number of calls not judged, because the trial stalled during the call.
+    /// Number of calls judged by the order of events only, because the trial stalled as planned during the call.
+    pub judged_by_order: usize,
+    /// Number of calls judged by the order of events only, because the machine stalled during the call.
     pub not_judged: usize,
 }
 
@@ -148,8 +150,11 @@
     let mut verdict = Verdict::default();
     for (id, entries) in calls {
         let Some(call) = CallHistory::from_entries(id, entries, &context) else { continue };
-        if context.overlaps_stall(&call) {
-            verdict.not_judged += 1;
+        let is_planned = context.overlaps_planned_stall(&call);
+        if is_planned || context.overlaps_stall(&call) {
+            let count = if is_planned { &mut verdict.judged_by_order } else { &mut verdict.not_judged };
+            *count += 1;
+            verdict.breaches.extend(calls::check_order(&call, parameters));
             continue;
         }
         verdict.judged += 1;
--- a/crates/soak/src/judge/view.rs
+++ b/crates/soak/src/judge/view.rs
@@ -143,12 +143,16 @@
     process_ends: BTreeMap<String, Vec<f64>>,
     caller_spans: BTreeMap<usize, Vec<Span>>,
     stalls: Vec<Span>,
+    /// Stalls of the trial that are faults of its plan.
+    planned_stalls: Vec<Span>,
     terminated: BTreeMap<usize, Vec<f64>>,
     killed: BTreeMap<usize, Vec<f64>>,
     exited: BTreeMap<usize, Vec<f64>>,
     started: BTreeMap<usize, Vec<f64>>,
-    published_unavailable: BTreeMap<String, f64>,
-    sent_unavailable: BTreeMap<(usize, String), f64>,
+    /// Times at which discovery had a state of an exchange: whether it was in service.
+    published_states: BTreeMap<String, Vec<(f64, bool)>>,
+    /// Times at which discovery sent a proxy a state of an exchange.
+    sent_states: BTreeMap<(usize, String), Vec<(f64, bool)>>,
     /// Times at which the discovery of each proxy became reachable (`true`) or unreachable (`false`).
     reachability_changes: BTreeMap<usize, Vec<(f64, bool)>>,
 }
@@ -190,15 +194,19 @@
                     }
                 }
                 Observation::Stalled(seconds) => context.stalls.push(Span { from: at - seconds, to: *at }),
+                Observation::StallPlanned(seconds) => {
+                    context.planned_stalls.push(Span { from: *at, to: at + seconds });
+                }
                 Observation::Terminated => context.terminated.entry(*proxy).or_default().push(*at),
                 Observation::Killed => context.killed.entry(*proxy).or_default().push(*at),
                 Observation::ProxyEnded { .. } => context.exited.entry(*proxy).or_default().push(*at),
                 Observation::ProxyStarted => context.started.entry(*proxy).or_default().push(*at),
-                Observation::RosterPublished { exchange, ready: false } => {
-                    context.published_unavailable.entry(exchange.clone()).or_insert(*at);
+                Observation::RosterPublished { exchange, ready } => {
+                    context.published_states.entry(exchange.clone()).or_default().push((*at, *ready));
                 }
-                Observation::RosterSent { exchange, ready: false } => {
-                    context.sent_unavailable.entry((*proxy, exchange.clone())).or_insert(*at);
+                Observation::RosterSent { exchange, ready } => {
+                    let states = context.sent_states.entry((*proxy, exchange.clone())).or_default();
+                    states.push((*at, *ready));
                 }
                 Observation::DiscoveryReachable(reachable) => {
                     context.reachability_changes.entry(*proxy).or_default().push((*at, *reachable));
@@ -217,9 +225,12 @@
 
     /// Returns whether the trial stalled while observations of the call could have been delayed.
     pub fn overlaps_stall(&self, call: &CallHistory) -> bool {
-        let times = call.entries.iter().map(|entry| entry.at);
-        let last = times.fold(call.requested_at + call.deadline, f64::max);
-        self.stalls.iter().any(|span| span.overlaps(call.requested_at, last + 1.0))
+        overlaps_any(&self.stalls, call)
+    }
+
+    /// Returns whether the trial stalled as planned while observations of the call could have been delayed.
+    pub fn overlaps_planned_stall(&self, call: &CallHistory) -> bool {
+        overlaps_any(&self.planned_stalls, call)
     }
 
     /// Returns whether the network held back or delayed what was sent to an exchange or by it, at any time in a span.
@@ -285,10 +296,14 @@
         stop_requests.copied().any(|at| at >= since && at <= end)
     }
 
-    /// Returns the time from which a proxy is considered informed that an exchange is draining or gone.
-    pub fn considered_informed_at(&self, proxy: usize, exchange: &str) -> Option<f64> {
-        let published_unavailable = *self.published_unavailable.get(exchange)?;
-        let sent_unavailable = self.sent_unavailable.get(&(proxy, exchange.to_owned())).copied();
+    /// Returns the time from which a proxy is considered informed that an exchange is draining or gone, as it was at a
+    /// given time. An exchange that was listed as ready again is not.
+    pub fn considered_informed_at(&self, proxy: usize, exchange: &str, at: f64) -> Option<f64> {
+        let published_unavailable = unavailable_since(self.published_states.get(exchange)?, at)?;
+        let sent = self.sent_states.get(&(proxy, exchange.to_owned()));
+        let sent_unavailable = sent
+            .and_then(|states| states.iter().find(|(sent, ready)| !ready && *sent >= published_unavailable))
+            .map(|(sent, _)| *sent);
         let mut latest = published_unavailable + ROSTER_DELIVERY_LIMIT_S;
         // While discovery stays reachable, the roster line that it sends is what informs the proxy.
         let changes = self.reachability_changes.get(&proxy).map_or(&[][..], Vec::as_slice);
@@ -302,3 +317,18 @@
         Some(sent_unavailable.map_or(latest, |sent_unavailable| sent_unavailable.min(latest)))
     }
 }
+
+fn overlaps_any(spans: &[Span], call: &CallHistory) -> bool {
+    let times = call.entries.iter().map(|entry| entry.at);
+    let last = times.fold(call.requested_at + call.deadline, f64::max);
+    spans.iter().any(|span| span.overlaps(call.requested_at, last + 1.0))
+}
+
+/// Returns since when an exchange was draining or gone at a given time, by its states in chronological order.
+fn unavailable_since(states: &[(f64, bool)], at: f64) -> Option<f64> {
+    let mut since = None;
+    for (changed_at, ready) in states.iter().filter(|(changed_at, _)| *changed_at <= at) {
+        since = if *ready { None } else { since.or(Some(*changed_at)) };
+    }
+    since
+}
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -151,7 +151,7 @@
                     _ => rng.random_range(200..8_000),
                 };
                 let caller_wait_s = self.give_up * rng.random_range(0.4..=1.0);
-                let slow_answer = rng.random_range(0..20) == 0;
+                let slow_answer = rng.random_range(0..8) == 0;
                 let answer_s = if slow_answer {
                     caller_wait_s * rng.random_range(0.5..1.5)
                 } else {
@@ -197,7 +197,7 @@
                 let target = match kind.target() {
                     Target::Exchange => rng.random_range(0..self.exchanges),
                     Target::Proxy => rng.random_range(0..self.proxies),
-                    Target::Discovery => 0,
+                    Target::Discovery | Target::Trial => 0,
                 };
                 let (shortest, longest) = kind.duration_range_s();
                 let at = burst_start + rng.random_range(0.0..1.2);
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -29,7 +29,9 @@
     pub breaches: BTreeMap<String, usize>,
     /// Number of calls judged.
     pub judged: usize,
-    /// Number of calls not judged.
+    /// Number of calls judged by the order of events only, because of planned stalls.
+    pub judged_by_order: usize,
+    /// Number of calls not judged, because the machine stalled.
     pub not_judged: usize,
     /// Call states that the faults occurred in.
     pub coverage: Coverage,
@@ -40,6 +42,7 @@
     pub fn add(&mut self, seed: u64, verdict: &Verdict, coverage: &Coverage) {
         self.trials += 1;
         self.judged += verdict.judged;
+        self.judged_by_order += verdict.judged_by_order;
         self.not_judged += verdict.not_judged;
         self.coverage.add(coverage);
         for breach in &verdict.breaches {
@@ -53,7 +56,7 @@
 
     /// Returns whether no rule was broken and enough calls were judged.
     pub fn passed(&self) -> bool {
-        let all = (self.judged + self.not_judged).max(1) as f64;
+        let all = (self.judged + self.judged_by_order + self.not_judged).max(1) as f64;
         self.broken.is_empty() && self.not_judged as f64 / all <= MAX_NOT_JUDGED_SHARE
     }
 
@@ -77,9 +80,11 @@
             fault_table.add_row(row);
         }
         let mut text = format!("{rule_table}\n\n{fault_table}\n\n");
-        let not_judged = self.not_judged;
-        let _ =
-            writeln!(text, "{} trials, {} calls judged, {not_judged} not judged", self.trials, self.judged);
+        let _ = writeln!(
+            text,
+            "{} trials, {} calls judged, {} by the order of events only, {} not judged",
+            self.trials, self.judged, self.judged_by_order, self.not_judged
+        );
         for (seed, rules) in &self.broken {
             let _ = writeln!(text, "seed {seed}: {}", rules.join(", "));
         }
--- a/crates/soak/src/trial/faults.rs
+++ b/crates/soak/src/trial/faults.rs
@@ -1,6 +1,7 @@
 //! Plays the faults of a plan.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use mallowring_standin::discovery::Lifecycle;
 use mallowring_standin::exchange::{Exchange, Misbehaviour};
@@ -23,6 +24,14 @@
 const LONGEST_READ_DELAY_S: f64 = 0.6;
 /// Longest delay in seconds of a slow network, in each direction.
 const LONGEST_NETWORK_DELAY_S: f64 = 0.4;
+/// Longest time in seconds after which a system in front of an exchange answers for it.
+const LONGEST_FRONT_TIMEOUT_S: f64 = 0.5;
+/// Time in milliseconds before now of a start that discovery gives for an exchange that started long ago.
+const EARLIER_START_MS: u64 = 20_000;
+/// Time in milliseconds before now of a start that discovery gives although there was none.
+const WRONG_START_MS: u64 = 300;
+/// Time in seconds within which a listener is closed.
+const CLOSE_LISTENER_S: f64 = 0.01;
 /// Delay in seconds until discovery publishes a process that has replaced another.
 const ROSTER_DELAY_S: f64 = 1.5;
 
@@ -38,14 +47,25 @@
             | FaultKind::Die
             | FaultKind::RestartAtOnce
             | FaultKind::ReplaceAtAddress
-            | FaultKind::Drain => self.change_exchange(&fault).await,
+            | FaultKind::Drain
+            | FaultKind::StartTimes
+            | FaultKind::ListedGone
+            | FaultKind::RefuseConnects
+            | FaultKind::StallExchange => self.change_exchange(&fault).await,
+            FaultKind::StallTrial => {
+                self.record.add("trial", 0, "", Observation::StallPlanned(fault.duration_s));
+                // Blocks the thread of all stand-ins.
+                std::thread::sleep(Duration::from_secs_f64(fault.duration_s));
+            }
             FaultKind::AnswersLate
             | FaultKind::AnswersTwice
             | FaultKind::AnswersSpoilt
             | FaultKind::ReadsLate
             | FaultKind::Pieces
             | FaultKind::AcceptsLate
-            | FaultKind::ReleasesElsewhere => self.misbehave(&fault).await,
+            | FaultKind::ReleasesElsewhere
+            | FaultKind::FrontTimeouts
+            | FaultKind::ErrorAnswers => self.misbehave(&fault).await,
             FaultKind::CutToExchange | FaultKind::CutFromExchange | FaultKind::SlowNetwork => {
                 self.disturb_links(&fault).await
             }
@@ -113,11 +133,18 @@
                 sleep(fault.duration_s).await;
                 exchange.resume();
             }
-            FaultKind::Hang => {
+            FaultKind::Hang | FaultKind::StallExchange => {
                 exchange.hang();
                 sleep(fault.duration_s).await;
                 exchange.resume();
             }
+            FaultKind::StartTimes => self.tell_start_times(&exchange, fault.duration_s).await,
+            FaultKind::ListedGone => {
+                self.publish(&[(exchange.clone(), Lifecycle::Gone, 0)]);
+                sleep(fault.duration_s).await;
+                self.publish(&[(exchange, Lifecycle::Ready, 0)]);
+            }
+            FaultKind::RefuseConnects => self.refuse_connects(&exchange, fault.duration_s).await,
             FaultKind::Vanish => {
                 exchange.vanish();
                 sleep(fault.duration_s).await;
@@ -163,6 +190,31 @@
         self.exchanges.borrow_mut()[exchange_index] = new;
     }
 
+    /// Lets discovery give an exchange that lives on a start time, none, an earlier one and, at last, a wrong one.
+    async fn tell_start_times(&self, exchange: &Exchange, duration_s: f64) {
+        let earlier = unix_ms() - EARLIER_START_MS;
+        let wrong = |at: u64| at - WRONG_START_MS;
+        for told in [Some(earlier), Some(0), Some(earlier - EARLIER_START_MS), None] {
+            let started_at = told.unwrap_or_else(|| wrong(unix_ms()));
+            self.publish(&[(exchange.clone(), Lifecycle::Ready, started_at)]);
+            sleep(duration_s / 4.0).await;
+        }
+    }
+
+    /// Refuses new connections to an exchange that works on, and resets the open ones.
+    async fn refuse_connects(&self, exchange: &Exchange, duration_s: f64) {
+        exchange.refuse_connections();
+        // Lets the stand-in stop accepting first.
+        sleep(CLOSE_LISTENER_S).await;
+        for proxy in 0..self.plan.proxies {
+            while exchange.reset_connection(proxy) {}
+        }
+        sleep(duration_s).await;
+        while exchange.accept_connections().await.is_err() {
+            sleep(CLOSE_LISTENER_S).await;
+        }
+    }
+
     /// Starts another process at the same address; discovery publishes it after a delay.
     async fn restart_at_address(&self, exchange: &Exchange) {
         let started = unix_ms();
@@ -180,6 +232,14 @@
             FaultKind::AnswersLate => {
                 Misbehaviour { answer_delay: self.plan.give_up * 0.7, ..no_misbehaviour }
             }
+            FaultKind::FrontTimeouts => Misbehaviour {
+                front_timeout: Some(self.variation(fault, LONGEST_FRONT_TIMEOUT_S)),
+                answer_delay: self.plan.give_up * 0.7,
+                ..no_misbehaviour
+            },
+            FaultKind::ErrorAnswers => {
+                Misbehaviour { errors: true, duplicate_answers: true, ..no_misbehaviour }
+            }
             FaultKind::AnswersTwice => Misbehaviour { duplicate_answers: true, ..no_misbehaviour },
             FaultKind::ReadsLate => {
                 let read_delay = self.variation(fault, LONGEST_READ_DELAY_S);
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -388,3 +388,64 @@
     let verdict = check_rules(&record_with_stall(1.0), &deployment_parameters());
     assert_eq!((verdict.judged, verdict.not_judged), (0, 1));
 }
+
+#[test]
+fn a_stall_excuses_times_and_not_the_order_of_events() {
+    let two_attempts_out = || {
+        vec![
+            requested(),
+            exchange(0.1, set_up()),
+            entry(0.3, "s2", CALL, set_up()),
+            exchange(0.5, set_up_ended(503)),
+            entry(0.6, "s2", CALL, set_up_ended(503)),
+        ]
+    };
+    for stall in [Observation::Stalled(0.2), Observation::StallPlanned(0.4)] {
+        let mut record = two_attempts_out();
+        record.insert(1, entry(0.05, "trial", "", stall.clone()));
+        assert_breaks_only("one attempt out", record);
+        let late = vec![requested(), entry(0.5, "trial", "", stall)];
+        assert_keeps_all(late);
+    }
+    let record = vec![requested(), entry(0.5, "trial", "", Observation::StallPlanned(0.4))];
+    let verdict = check_rules(&record, &deployment_parameters());
+    assert_eq!((verdict.judged, verdict.judged_by_order, verdict.not_judged), (0, 1, 0));
+}
+
+/// A front's answer does not end the set-up that its exchange works on.
+#[test]
+fn a_front_that_answers_ends_no_attempt() {
+    let answered_in_front = |second: f64| {
+        vec![
+            requested(),
+            exchange(0.1, set_up()),
+            exchange(0.2, Observation::FrontAnswered { status: 504 }),
+            exchange(0.8, Observation::SetUpCancelled),
+            entry(second, "s2", CALL, set_up()),
+            entry(1.4, "s2", CALL, set_up_ended(503)),
+            caller(1.5, answered(503)),
+        ]
+    };
+    assert_keeps_all(answered_in_front(1.05 + MILLISECOND_S));
+    assert_breaks_only("pause", answered_in_front(1.05 - MILLISECOND_S));
+}
+
+#[test]
+fn an_exchange_that_is_listed_again_gets_calls_again() {
+    let roster = |at: f64, ready| {
+        let exchange = "s1".to_owned();
+        [
+            entry(at, "discovery", "", Observation::RosterPublished { exchange: exchange.clone(), ready }),
+            entry(at, "discovery", "", Observation::RosterSent { exchange, ready }),
+        ]
+    };
+    let record = |listed_again: Option<f64>| {
+        let mut record: Vec<Entry> = roster(-9.0, false).into();
+        record.extend(listed_again.into_iter().flat_map(|at| roster(at, true)));
+        record.extend([requested(), exchange(0.1, set_up()), exchange(0.2, set_up_ended(503))]);
+        record.push(caller(0.3, answered(503)));
+        record
+    };
+    assert_keeps_all(record(Some(-2.0)));
+    assert_breaks_only("drain", record(None));
+}
--- a/crates/standin/src/exchange/mod.rs
+++ b/crates/standin/src/exchange/mod.rs
@@ -317,6 +317,10 @@
             let mut reader = MessageReader::new(stream);
             while let Some(message) = reader.next().await {
                 exchange.wait_until_reachable(generation).await;
+                // The process has ended: nothing reaches it any more.
+                if exchange.0.generation.get() != generation {
+                    return;
+                }
                 if message.method() == Some("INVITE") {
                     exchange.record_call_event(port_index, &call_id_of(&message), Observation::SetUpArrived);
                 }
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -109,6 +109,8 @@
         /// Open file descriptors.
         descriptors: usize,
     },
+    /// For the seconds from now on, of which this is the number, the trial stalls as planned.
+    StallPlanned(f64),
     /// Within the last seconds, of which this is the number, the trial's own process or a proxy waited too long for a
     /// CPU.
     Stalled(f64),
