Stand-in exchanges wait for changes of their state in place of polling for them

Stand-ins and test share one thread, on which every address of an exchange polled 500 times a second: 60 to 300 of them. Change: tasks of the stand-in exchange wait for an event (event-listener) that every change of its state sends.

--- a/crates/standin/src/exchange/faults.rs
+++ b/crates/standin/src/exchange/faults.rs
@@ -48,12 +48,12 @@
         self.record_event(Observation::ProcessGone);
         self.cut_calls();
         // Data still waiting on the old connections is never read.
-        self.0.generation.set(self.0.generation.get() + 1);
+        self.start_generation();
     }
 
     /// Cuts the machine off from the network; its calls are kept.
     pub fn cut_off(&self) {
-        self.0.condition.set(Condition::CutOff);
+        self.set_condition(Condition::CutOff);
         self.record_event(Observation::Silent);
         self.record_event(Observation::LinkDisturbed);
         for port in &self.0.ports {
@@ -63,13 +63,13 @@
 
     /// Makes the process hang with its calls kept: the kernel still accepts connections.
     pub fn hang(&self) {
-        self.0.condition.set(Condition::Hung);
+        self.set_condition(Condition::Hung);
         self.record_event(Observation::Silent);
     }
 
     /// Ends [`Exchange::cut_off`] and [`Exchange::hang`]: delayed reads and writes continue.
     pub fn resume(&self) {
-        let was_cut_off = self.0.condition.replace(Condition::Working) == Condition::CutOff;
+        let was_cut_off = self.set_condition(Condition::Working) == Condition::CutOff;
         self.record_event(Observation::Working);
         if was_cut_off {
             self.record_event(Observation::LinkRestored);
@@ -91,21 +91,21 @@
 
     /// Refuses new connections from now on, while the process and its open connections work.
     pub fn refuse_connections(&self) {
-        self.0.accepting.set(false);
+        self.set_accepting(false);
         self.close_listeners();
     }
 
     /// Ends [`Exchange::refuse_connections`].
     pub async fn accept_connections(&self) -> io::Result<()> {
         self.listen_again().await?;
-        self.0.accepting.set(true);
+        self.set_accepting(true);
         self.accept_on_all_ports();
         Ok(())
     }
 
     /// Crashes the process: its connections are reset, its calls are cut and new connections are refused.
     pub fn crash(&self) {
-        self.0.condition.set(Condition::Dead);
+        self.set_condition(Condition::Dead);
         self.record_event(Observation::Working);
         self.end_process(listener::reset_stream);
         self.close_listeners();
@@ -114,7 +114,7 @@
     /// Stops the process after a drain: its connections are closed in order, new ones are refused and remaining calls
     /// are cut.
     pub fn stop(&self) {
-        self.0.condition.set(Condition::Dead);
+        self.set_condition(Condition::Dead);
         self.record_event(Observation::Working);
         self.end_process(|stream| drop(stream.shutdown(Shutdown::Both)));
         self.close_listeners();
@@ -130,7 +130,7 @@
     /// Starts another process without calls at the same addresses. Connections of the old process stay open and
     /// silent.
     pub async fn replace(&self) -> io::Result<()> {
-        self.0.generation.set(self.0.generation.get() + 1);
+        self.start_generation();
         for port in &self.0.ports {
             port.connections.borrow_mut().clear();
             port.backlog.borrow_mut().release();
@@ -138,7 +138,7 @@
             port.circuits_used.set(0);
         }
         self.listen_again().await?;
-        let was_cut_off = self.0.condition.replace(Condition::Working) == Condition::CutOff;
+        let was_cut_off = self.set_condition(Condition::Working) == Condition::CutOff;
         self.record_event(Observation::Working);
         if was_cut_off {
             self.record_event(Observation::LinkRestored);
@@ -172,8 +172,8 @@
     fn end_process(&self, close: impl Fn(TcpStream)) {
         self.record_event(Observation::ProcessGone);
         self.cut_calls();
-        self.0.generation.set(self.0.generation.get() + 1);
-        self.0.reset_below_generation.set(self.0.generation.get());
+        self.0.reset_below_generation.set(self.0.generation.get() + 1);
+        self.start_generation();
         for port in &self.0.ports {
             let connections = std::mem::take(&mut *port.connections.borrow_mut());
             connections.into_values().for_each(|connection| close(connection.stream));
--- a/crates/standin/src/exchange/mod.rs
+++ b/crates/standin/src/exchange/mod.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use event_listener::Event;
 pub use faults::Misbehaviour;
 use mallowring::sip::message::Message;
 use smol::channel::{bounded, unbounded, Receiver, Sender};
@@ -24,8 +25,8 @@
 use crate::record::{now, Observation, Record};
 use crate::{listener, sleep, Executor};
 
-/// Poll interval of a task that waits for a change of state, in seconds.
-const POLL_INTERVAL_S: f64 = 0.002;
+/// Interval in seconds at which an address is bound again that its previous listener is about to release.
+const REBIND_INTERVAL_S: f64 = 0.002;
 /// Size in bytes of each write, and the pause in seconds after it, while [`Misbehaviour::fragmented_writes`] is set.
 const FRAGMENT_BYTES: usize = 24;
 const FRAGMENT_PAUSE_S: f64 = 0.001;
@@ -92,6 +93,8 @@
     misbehaviour: Cell<Misbehaviour>,
     /// Connections on which nothing is read or written any more.
     silenced: RefCell<BTreeSet<u64>>,
+    /// Notified of changes of the fields above that tasks wait for.
+    changed: Event,
     calls: RefCell<BTreeMap<String, Call>>,
     /// Time at which a call was last released, in seconds of Unix time.
     last_release_at: Cell<f64>,
@@ -105,7 +108,7 @@
 async fn bind_again(addr: SocketAddr) -> io::Result<TcpListener> {
     for _ in 0..100 {
         match listener::bind(addr) {
-            Err(error) if error.kind() == io::ErrorKind::AddrInUse => sleep(POLL_INTERVAL_S).await,
+            Err(error) if error.kind() == io::ErrorKind::AddrInUse => sleep(REBIND_INTERVAL_S).await,
             other => return other,
         }
     }
@@ -147,6 +150,7 @@
             next_connection: Cell::new(0),
             misbehaviour: Cell::default(),
             silenced: RefCell::default(),
+            changed: Event::new(),
             calls: RefCell::default(),
             last_release_at: Cell::new(0.0),
         }));
@@ -220,9 +224,8 @@
         loop {
             let accepted = smol::future::or(async { listener.accept().await.ok() }, async {
                 // Stop accepting as soon as another process has replaced this one.
-                while self.0.generation.get() == generation && self.0.accepting.get() {
-                    sleep(POLL_INTERVAL_S).await;
-                }
+                let is_over = || self.0.generation.get() != generation || !self.0.accepting.get();
+                self.wait_until(is_over).await;
                 None
             });
             let Some((stream, _)) = accepted.await else { return };
@@ -238,24 +241,46 @@
 
     /// Waits until the machine works. Never returns if this process has been replaced and left its connections open.
     async fn wait_until_working(&self, generation: u64) {
-        while self.0.condition.get() != Condition::Working || self.0.generation.get() != generation {
-            if generation < self.0.reset_below_generation.get() {
-                return;
-            }
-            sleep(POLL_INTERVAL_S).await;
-        }
+        let works = || {
+            self.0.condition.get() == Condition::Working && self.0.generation.get() == generation
+                || generation < self.0.reset_below_generation.get()
+        };
+        self.wait_until(works).await;
     }
 
     /// Waits until the machine is connected to the network. Never returns if this process has been replaced.
     async fn wait_until_reachable(&self, generation: u64) {
-        while self.0.condition.get() == Condition::CutOff || self.0.generation.get() != generation {
-            if generation < self.0.reset_below_generation.get() {
-                return;
-            }
-            sleep(POLL_INTERVAL_S).await;
+        let is_reachable = || {
+            self.0.condition.get() != Condition::CutOff && self.0.generation.get() == generation
+                || generation < self.0.reset_below_generation.get()
+        };
+        self.wait_until(is_reachable).await;
+    }
+
+    /// Waits for a condition that [`Inner::changed`] is notified of.
+    async fn wait_until(&self, condition: impl Fn() -> bool) {
+        while !condition() {
+            self.0.changed.listen().await;
         }
     }
 
+    fn set_condition(&self, condition: Condition) -> Condition {
+        let before = self.0.condition.replace(condition);
+        self.0.changed.notify(usize::MAX);
+        before
+    }
+
+    /// Counts another process at these addresses.
+    fn start_generation(&self) {
+        self.0.generation.set(self.0.generation.get() + 1);
+        self.0.changed.notify(usize::MAX);
+    }
+
+    fn set_accepting(&self, accepting: bool) {
+        self.0.accepting.set(accepting);
+        self.0.changed.notify(usize::MAX);
+    }
+
     async fn serve(&self, port_index: usize, stream: TcpStream, generation: u64) {
         let _ = stream.set_nodelay(true);
         let arrivals = self.receive_ahead(port_index, stream.clone(), generation);
@@ -290,9 +315,7 @@
         while let Some((arrived_at, message)) = arrivals.next().await {
             sleep(arrived_at + self.0.misbehaviour.get().read_delay - now()).await;
             self.wait_until_working(generation).await;
-            while self.0.silenced.borrow().contains(&connection) {
-                sleep(POLL_INTERVAL_S).await;
-            }
+            self.wait_until(|| !self.0.silenced.borrow().contains(&connection)).await;
             if self.0.generation.get() != generation {
                 return;
             }
