--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 pub mod logic;
 pub mod membership;
 pub mod net;
+mod overload;
 pub mod recovery;
 pub mod sip;
 pub mod telemetry;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,6 +6,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::interface::*;
+use crate::overload::{Overload, Priority};
 use crate::recovery::attempt_end::earliest_retry;
 
 // ---- Default tuning and constants ----------------------------------------------------------------
@@ -49,77 +50,6 @@
 /// most.
 const TTL_SLOT: Secs = 0.05;
 
-// ---- Overload level ----------------------------------------------------------------------------
-
-/// The admission priority of a call under overload.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Priority {
-    /// Refused at level 4 only.
-    Urgent,
-    /// Refused at the share of the level.
-    Normal,
-    /// Refused at every level above 0, before any first set-up: most redials are established after their target
-    /// time and earn less.
-    Redial,
-}
-
-/// The overload level of one processor, 0 to 4. Each level has an onset and an abatement threshold and refuses a fixed
-/// share of the calls.
-#[derive(Clone, Debug, Default)]
-struct Overload {
-    level: usize,
-    /// The time of the last observation, or of the last step of [`Overload::decay`].
-    observed_at: Time,
-    /// The sum of the refusal shares of the normal calls since the last refusal.
-    refusal_accumulator: f64,
-}
-
-impl Overload {
-    /// Sets the level from the wait at the processor. `onset` is the onset of level 1; it doubles with each level.
-    fn observe(&mut self, wait: Secs, onset: Secs, abate: f64, now: Time) {
-        let onset_of = |level: usize| onset * (1 << level) as f64;
-        while self.level < 4 && wait >= onset_of(self.level) {
-            self.level += 1;
-        }
-        while self.level > 0 && wait < abate * onset_of(self.level - 1) {
-            self.level -= 1;
-        }
-        self.observed_at = now;
-    }
-
-    /// Steps up by one level, for a "processor full" response: it shows overload whatever wait has been estimated.
-    fn raise(&mut self, now: Time) {
-        self.level = (self.level + 1).min(4);
-        self.observed_at = now;
-    }
-
-    /// Steps down by one level for each `interval` without an observation.
-    fn decay(&mut self, interval: Secs, now: Time) {
-        while self.level > 0 && interval > 0.0 && now - self.observed_at > interval {
-            self.level -= 1;
-            self.observed_at = self.observed_at + interval;
-        }
-    }
-
-    /// Decides whether to refuse a call. Refusals of normal calls are spread evenly: each call adds the share of the
-    /// level to an accumulator, and the call that brings it to 1 is refused and takes 1 off.
-    fn refuses(&mut self, priority: Priority, shares: &[f64; 5]) -> bool {
-        let share = shares[self.level];
-        match (priority, self.level) {
-            (_, 4) if share > 0.0 => return true,
-            (Priority::Urgent, _) => return false,
-            (Priority::Redial, 1..) if share > 0.0 => return true,
-            _ => {}
-        }
-        self.refusal_accumulator += share;
-        let refuse = self.refusal_accumulator >= 1.0 - 1e-9;
-        if refuse {
-            self.refusal_accumulator -= 1.0;
-        }
-        refuse
-    }
-}
-
 // ---- State of an exchange ----------------------------------------------------------------------
 
 /// The state of one exchange as this proxy sees it: its roster entry, the trunk group to it and its processor.
@@ -160,7 +90,7 @@
 
 impl ExchangeState {
     fn new(entry: RosterEntry, now: Time) -> Self {
-        let overload = Overload { observed_at: now, ..Overload::default() };
+        let overload = Overload::new(now);
         ExchangeState { entry, overload, paused_until: now, cold_credit_at: now, ..ExchangeState::default() }
     }
 
@@ -341,7 +271,7 @@
 
     /// Starts the controller; call this once, before the first event.
     pub fn start(&mut self, now: Time, actions: &mut Vec<Action>) {
-        self.own_overload.observed_at = now;
+        self.own_overload = Overload::new(now);
         (self.last_arrival_at, self.last_event_at, self.active_clock) = (now, now, now);
         if self.settings.discovery == Discovery::OnRequest {
             actions.push(Action::Subscribe);
