Stand-ins listen on addresses of their own; processes are not sampled while they start

Change: each stand-in exchange and discovery listens on a loopback address of its own; the resources of a process are not sampled in its first 0.05 s. The proxy is unchanged.

--- a/crates/soak/src/trial/proxies.rs
+++ b/crates/soak/src/trial/proxies.rs
@@ -17,6 +17,9 @@
 /// Interval in seconds at which SIGTERM is sent again.
 const TERM_INTERVAL_S: f64 = 0.5;
 
+/// Time in seconds from the start of a process within which it may still hold the descriptors of this one.
+const EXEC_TIME_S: f64 = 0.05;
+
 /// State of a proxy's process.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ProcessState {
@@ -35,6 +38,8 @@
     record: Record,
     proxy: RefCell<Proxy>,
     process_state: Cell<ProcessState>,
+    /// Start of the process, in seconds of Unix time.
+    started_at: Cell<f64>,
     /// The logs of processes that have exited.
     logs: RefCell<String>,
 }
@@ -52,7 +57,8 @@
         let proxy = RefCell::new(Proxy::start(program, &config, discovery)?);
         let (program, record) = (program.to_owned(), record.clone());
         let (process_state, logs) = (Cell::new(ProcessState::NotReady), RefCell::default());
-        Ok(SupervisedProxy { index, program, record, proxy, process_state, logs })
+        let started_at = Cell::new(now());
+        Ok(SupervisedProxy { index, program, record, proxy, process_state, started_at, logs })
     }
 
     fn record_event(&self, observation: Observation) {
@@ -74,8 +80,12 @@
         format!("{}{}", self.logs.borrow(), self.proxy.borrow().log())
     }
 
-    /// Returns the resident memory in kB and the number of descriptors; `None` if no process runs.
+    /// Returns the resident memory in kB and the number of descriptors; `None` if no process runs, or one has just been
+    /// started: until the kernel has executed the program, what it counts belongs to this process.
     pub fn resources(&self) -> Option<(u64, usize)> {
+        if now() - self.started_at.get() < EXEC_TIME_S {
+            return None;
+        }
         let proxy = self.proxy.borrow();
         let (memory, descriptors) = (proxy.memory_kb().0, proxy.descriptors());
         (memory > 0).then_some((memory, descriptors))
@@ -170,6 +180,7 @@
         self.logs.borrow_mut().push_str(&log);
         self.record_event(Observation::ProxyStarted);
         let started = self.proxy.borrow_mut().restart(&self.program, discovery);
+        self.started_at.set(now());
         if started.is_ok() {
             self.wait_until_ready(20.0).await;
         }
--- a/crates/standin/src/discovery.rs
+++ b/crates/standin/src/discovery.rs
@@ -97,7 +97,7 @@
         proxy: usize,
         full: &[RosterEntry],
     ) -> io::Result<Discovery> {
-        let listener = listener::bind(([127, 0, 0, 1], 0).into())?;
+        let listener = listener::bind((listener::unused_ip(), 0).into())?;
         let inner = Inner {
             executor: executor.clone(),
             record: record.clone(),
@@ -146,7 +146,7 @@
 
     /// Moves the service to another address: the old one refuses connections and its open connections end.
     pub fn change_address(&self) -> io::Result<()> {
-        let listener = listener::bind(([127, 0, 0, 1], 0).into())?;
+        let listener = listener::bind((listener::unused_ip(), 0).into())?;
         self.0.addr.set(listener.local_addr()?);
         self.0.address_changes.set(self.0.address_changes.get() + 1);
         if self.0.condition.get() != Condition::Down {
--- a/crates/standin/src/exchange/mod.rs
+++ b/crates/standin/src/exchange/mod.rs
@@ -125,8 +125,9 @@
         proxies: usize,
     ) -> io::Result<Exchange> {
         let mut ports = Vec::new();
+        let ip = listener::unused_ip();
         for _ in 0..proxies {
-            let listener = listener::bind(([127, 0, 0, 1], 0).into())?;
+            let listener = listener::bind((ip, 0).into())?;
             ports.push(Port {
                 addr: listener.local_addr()?,
                 listener: RefCell::new(Some(listener)),
--- a/crates/standin/src/listener.rs
+++ b/crates/standin/src/listener.rs
@@ -1,8 +1,9 @@
 //! Listening sockets whose backlog can be filled, so that new connections time out as on an unreachable machine.
 
 use std::collections::BTreeSet;
-use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpStream};
 use std::os::fd::OwnedFd;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::Arc;
 
 use smol::net::TcpListener;
@@ -14,6 +15,14 @@
 /// Connections that [`Backlog::fill`] opens: more than the backlog holds.
 const FILLER_CONNECTIONS: usize = 3 * BACKLOG as usize;
 
+/// Returns a loopback IP address that no other listener of this process uses. A port that is closed for a time on a
+/// shared address could be taken by another trial.
+pub fn unused_ip() -> IpAddr {
+    static NEXT: AtomicU32 = AtomicU32::new(1);
+    let (process, number) = (std::process::id(), NEXT.fetch_add(1, Ordering::Relaxed));
+    [127, 128 | (process & 0x7f) as u8, (number >> 8) as u8, number as u8].into()
+}
+
 /// Binds and listens on a local address; port 0 selects a free port.
 pub fn bind(addr: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = Socket::new(Domain::for_address(addr), Type::STREAM, None)?;
