--- /dev/null
+++ b/review/standin/cases.rs
@@ -0,0 +1,282 @@
+//! The cases: what happens, and whether the rule held as written.
+
+use std::net::{SocketAddr, UdpSocket};
+
+use crate::operators::{write_service_file, SipCaller, SipExchange};
+use crate::platform::{event, instance, write_configuration, Bulletin, Caller, Exchange};
+use crate::world::*;
+
+/// Every time limit of the rules is 50 ms longer on sockets.
+const SLACK_S: f64 = 0.05;
+
+fn start_platform_proxy(listen: SocketAddr, bulletin: SocketAddr, known: &[String]) -> Proxy {
+    let path = write_configuration(listen, bulletin, known);
+    let variables =
+        [("NODE_CONFIG", path), ("NODE_NAME", "n0".to_owned()), ("NODE_LISTEN", listen.to_string())];
+    let proxy = Proxy::start(&variables);
+    wait_until_ready(listen);
+    proxy
+}
+
+/// The first event: the own exchange, which is never called, and two others.
+fn first_event(first: &Exchange, second: &Exchange) -> Vec<String> {
+    let instances = [
+        instance("s-00000000", free_addr(), 0, "ready", 0),
+        instance("s-00000001", first.addr, 1, "ready", 0),
+        instance("s-00000002", second.addr, 2, "ready", 0),
+    ];
+    vec![event(1, true, &instances)]
+}
+
+fn call_id(no: usize) -> String {
+    format!("{:08x}{no:08x}", std::process::id())
+}
+
+fn connect(listen: SocketAddr) -> Caller {
+    Caller::connect(listen).unwrap_or_else(|e| finish(2, &format!("the proxy takes no caller: {e}")))
+}
+
+/// One datagram of a client that sends what can't be read, and the calls of a usual caller around it.
+pub fn datagram() -> ! {
+    const DEADLINE_MS: u32 = 3000;
+    /// A final answer that comes later than this after its time is lost (FLEET, 'The whole fleet').
+    const LOST_AFTER_S: f64 = 0.5;
+    let exchange = SipExchange::start(1.5, 4.0);
+    let listen = free_addr();
+    let service = write_service_file(listen, exchange.addr, free_addr());
+    let proxy = Proxy::start(&[("MALLOWRING_SERVICE", service)]);
+    let mut caller = None;
+    wait_until(5.0, || SipCaller::connect(listen).is_ok());
+    if let Ok(connected) = SipCaller::connect(listen) {
+        caller = Some(connected);
+    }
+    let Some(caller) = caller else { finish(2, "the proxy takes no caller") };
+    let [first, second, third] = [1, 2, 3].map(call_id);
+    caller.set_up(&first, "50210001", DEADLINE_MS);
+    if !wait_until(4.0, || caller.answer(&first).is_some_and(|(_, status)| status == 200)) {
+        finish(2, "the first call does not stand before anything is wrong");
+    }
+    let second_sent = caller.set_up(&second, "50210002", DEADLINE_MS);
+    sleep(0.5);
+    if trouble() {
+        let client = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+        let from = client.local_addr().expect("an address");
+        let message = format!(
+            "OPTIONS sip:ping@{listen} SIP/2.0\r\nVia:\r\n SIP/2.0/UDP {from};branch=z9hG4bKbad;x=\u{e9}\r\n\
+             From: <sip:a@{from}>;tag=1\r\nTo: <sip:ping@{listen}>\r\nCall-ID: bad\r\nCSeq: 1 OPTIONS\r\n\
+             Content-Length: 0\r\n\r\n"
+        );
+        client.send_to(message.as_bytes(), listen).expect("a datagram");
+        record(format!("bad client: one datagram of {} bytes: {message:?}", message.len()));
+    }
+    sleep(0.5);
+    // The proxy may have closed the caller's connection: the next call comes on a new one.
+    let next_caller = SipCaller::connect(listen);
+    let Ok(next_caller) = next_caller else { conclude(vec!["the proxy takes no caller any more".to_owned()]) };
+    let third_sent = next_caller.set_up(&third, "50210003", DEADLINE_MS);
+    let mut faults = Vec::new();
+    let answer = |id: &str| caller.answer(id).or(next_caller.answer(id));
+    let release = |id: &str| caller.release(id).or(next_caller.release(id));
+    for (id, sent) in [(&second, second_sent), (&third, third_sent)] {
+        let lost_at = sent + f64::from(DEADLINE_MS) / 1000.0 + LOST_AFTER_S + SLACK_S;
+        match wait_until(lost_at - now(), || answer(id).is_some()) {
+            true => record(format!("judge: set-up {id} has its final answer")),
+            false => faults.push(format!("set-up {id} has no final answer {:.1} s after it was sent", now() - sent)),
+        }
+    }
+    for (id, number) in [(&first, "50210001"), (&second, "50210002"), (&third, "50210003")] {
+        if answer(id).is_none_or(|(_, status)| status != 200) {
+            continue;
+        }
+        wait_until(10.0, || exchange.released(number).is_some());
+        let Some((over, sent)) = exchange.released(number) else {
+            finish(2, "the exchange did not release a call")
+        };
+        let limit = if sent { 1.0 } else { 8.0 } + SLACK_S;
+        if !wait_until(over + limit - now(), || release(id).is_some()) {
+            faults.push(format!("call {id} is over, and not released to its caller within {limit} s"));
+        }
+    }
+    match proxy.ended() {
+        Some(status) => faults.push(format!("the proxy has ended: {status}")),
+        None => record("judge: the process of the proxy runs"),
+    }
+    for line in proxy.log_lines("panicked").iter().chain(&proxy.log_lines("char boundary")) {
+        record(format!("log of the proxy: {line}"));
+    }
+    conclude(faults)
+}
+
+fn conclude(faults: Vec<String>) -> ! {
+    for fault in &faults {
+        record(format!("judge: {fault}"));
+    }
+    match faults.first() {
+        None => finish(0, "the rule held"),
+        Some(first) => finish(1, &format!("{} times, first: {first}", faults.len())),
+    }
+}
+
+/// A planned restart while calls stand.
+pub fn restart() -> ! {
+    const LONGEST_HOLD_S: f64 = 9.0;
+    let exchanges = [Exchange::start("exchange 1", 6.0), Exchange::start("exchange 2", LONGEST_HOLD_S)];
+    let events = first_event(&exchanges[0], &exchanges[1]);
+    let bulletin = Bulletin::start("bulletin", events.clone(), 0.0);
+    let listen = free_addr();
+    let proxy = start_platform_proxy(listen, bulletin.addr, &events);
+    let caller = connect(listen);
+    let ids: Vec<String> = (0..4).map(call_id).collect();
+    for (ix, id) in ids.iter().enumerate() {
+        caller.set_up(id, 1 + ix as u32 % 2, 3000);
+        sleep(0.1);
+    }
+    for id in &ids {
+        if !wait_until(3.0, || caller.answer(id).is_some_and(|(_, status)| status == 200)) {
+            finish(2, "a call does not stand before the restart");
+        }
+    }
+    let started = now();
+    if trouble() {
+        proxy.signal("TERM");
+    }
+    let mut ended_at = None;
+    // Until the exchanges have released all calls and the longest limit has passed. SIGKILL would come after that.
+    while now() < started + LONGEST_HOLD_S + 3.0 {
+        if ended_at.is_none() {
+            ended_at = proxy.ended().map(|status| {
+                record(format!("the proxy has ended: {status}"));
+                now()
+            });
+        }
+        sleep(0.01);
+    }
+    let mut faults = Vec::new();
+    for id in &ids {
+        let over = exchanges.iter().find_map(|exchange| exchange.call_over(id));
+        let Some((over, sent)) = over else { finish(2, "a call did not end at its exchange") };
+        let released = caller.release(id);
+        let running = ended_at.is_none_or(|at| at > over);
+        let limit = if sent { 1.0 } else { 8.0 } + SLACK_S;
+        match released {
+            Some(at) if at <= over + limit => record(format!("judge: call {id} released after {:.3} s", at - over)),
+            _ if !running => record(format!("judge: call {id} was over after the proxy had ended")),
+            _ => faults.push(format!(
+                "call {id}: the exchange released it {:.1} s after SIGTERM to the running proxy, the caller has no release",
+                over - started
+            )),
+        }
+    }
+    conclude(faults)
+}
+
+/// A new configuration moves discovery to an address that is crowded, while an exchange drains.
+pub fn crowded() -> ! {
+    /// How long each new connection to the new bulletin waits in turn.
+    const WAIT_IN_TURN_S: f64 = 2.5;
+    /// The exchange drains for 2 to 6 s before it stops.
+    const DRAIN_S: f64 = 6.0;
+    /// What the bulletin has to tell counts as told 4 s after SIGHUP.
+    const TOLD_AFTER_S: f64 = 4.0;
+    const DRAIN_GRACE_S: f64 = 0.5;
+    let exchanges = [Exchange::start("exchange 1", 3.0), Exchange::start("exchange 2", 3.0)];
+    let successor = Exchange::start("successor of exchange 2", 3.0);
+    let events = first_event(&exchanges[0], &exchanges[1]);
+    let old = Bulletin::start("old bulletin", events.clone(), 0.0);
+    let wait = if trouble() { WAIT_IN_TURN_S } else { 0.0 };
+    let new = Bulletin::start("new bulletin", events.clone(), wait);
+    let listen = free_addr();
+    let proxy = start_platform_proxy(listen, old.addr, &events);
+    let caller = connect(listen);
+    sleep(1.5);
+    write_configuration(listen, new.addr, &events);
+    proxy.signal("HUP");
+    let hup = now();
+    old.retire();
+    sleep(0.3);
+    let drained = now();
+    let changes = [
+        instance("s-00000002", exchanges[1].addr, 2, "draining", 0),
+        instance("s-00000003", successor.addr, 2, "ready", unix_ms()),
+    ];
+    new.tell(event(2, false, &changes));
+    let mut ids = Vec::new();
+    while now() < drained + DRAIN_S {
+        let id = call_id(ids.len());
+        caller.set_up(&id, 2, 3000);
+        ids.push(id);
+        sleep(0.2);
+    }
+    exchanges[1].stop();
+    record("exchange 2 has stopped");
+    sleep(1.0);
+    let limit = hup + TOLD_AFTER_S + DRAIN_GRACE_S + SLACK_S;
+    let mut faults = Vec::new();
+    for (at, id) in exchanges[1].set_ups().into_iter().filter(|(at, _)| *at > limit) {
+        faults.push(format!(
+            "set-up {id} sent to the draining exchange {:.2} s after SIGHUP, {:.2} s after it counted as told",
+            at - hup,
+            at - hup - TOLD_AFTER_S
+        ));
+    }
+    if caller.answer(&ids[0]).is_none() {
+        finish(2, "not even the first call was answered");
+    }
+    let cut = ids.iter().filter(|id| exchanges[1].was_cut(id)).count();
+    record(format!("{cut} standing calls were cut when exchange 2 stopped"));
+    conclude(faults)
+}
+
+/// An exchange's zone is lost for 5 s and returns cold.
+pub fn cold() -> ! {
+    const LOST_S: f64 = 5.0;
+    /// Whatever the bulletin has to tell counts as told at the latest 7 s later.
+    const TOLD_AFTER_S: f64 = 6.5;
+    /// A call that is over is released within 8 s if no release could be sent.
+    const LIMIT_S: f64 = 8.0 + SLACK_S;
+    let exchanges = [Exchange::start("exchange 1", 60.0), Exchange::start("exchange 2", 60.0)];
+    let events = first_event(&exchanges[0], &exchanges[1]);
+    let bulletin = Bulletin::start("bulletin", events.clone(), 0.0);
+    let listen = free_addr();
+    let _proxy = start_platform_proxy(listen, bulletin.addr, &events);
+    let caller = connect(listen);
+    exchanges[1].set_taken_by_others(2);
+    let id = call_id(1);
+    caller.set_up(&id, 2, 3000);
+    if !wait_until(3.0, || caller.answer(&id).is_some_and(|(_, status)| status == 200)) {
+        finish(2, "the call does not stand before the loss");
+    }
+    // The state of the group changes all the time; here a last time before the loss.
+    sleep(2.0);
+    exchanges[1].set_taken_by_others(3);
+    sleep(0.05);
+    if !trouble() {
+        exchanges[1].release_all();
+        let over = now();
+        let released = wait_until(1.0 + SLACK_S, || caller.release(&id).is_some());
+        let late = if released { Vec::new() } else { vec![format!("call {id} not released within {:.1} s", now() - over)] };
+        conclude(late)
+    }
+    let over = now();
+    if let Err(error) = exchanges[1].lose() {
+        finish(2, &error);
+    }
+    sleep(over + LOST_S - now());
+    exchanges[1].come_back();
+    let (started, started_at_ms) = (now(), unix_ms());
+    // Calls that the other end of the group begins.
+    sleep(0.5);
+    exchanges[1].set_taken_by_others(1);
+    sleep(0.3);
+    exchanges[1].set_taken_by_others(2);
+    let in_time = wait_until(over + LIMIT_S - now(), || caller.release(&id).is_some());
+    sleep(started + TOLD_AFTER_S - now());
+    bulletin.tell(event(2, false, &[instance("s-00000002", exchanges[1].addr, 2, "ready", started_at_ms)]));
+    wait_until(3.0, || caller.release(&id).is_some());
+    match caller.release(&id) {
+        Some(at) => record(format!("the caller has the release {:.2} s after the call was over", at - over)),
+        None => record("the caller has no release"),
+    }
+    let late = format!("call {id} still stands for the caller 8.05 s after it was over");
+    conclude(if in_time { Vec::new() } else { vec![late] })
+}
