--- a/review/standin/operators.rs
+++ b/review/standin/operators.rs
@@ -195,7 +195,8 @@
             let stands = message.status() == 200;
             // The ACK of a refusal has the branch of the set-up, that of an answer its own.
             let branch = if stands { format!("ack{id}") } else { id.clone() };
-            let target = if stands { uri_of(message.get("Contact")) } else { "sip:proxy@127.0.0.1".to_owned() };
+            let target =
+                if stands { uri_of(message.get("Contact")) } else { "sip:proxy@127.0.0.1".to_owned() };
             let headers = [
                 ("Via", &*format!("SIP/2.0/TCP {addr};branch=z9hG4bK{branch}")),
                 ("Max-Forwards", "70"),
