--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -333,7 +333,12 @@
                     state.filler_ports.insert(stream.local_addr().map_err(|e| e.to_string())?.port());
                     state.fillers.push(stream);
                 }
-                Err(_) => return Ok(()),
+                Err(error) if matches!(error.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock) => {
+                    let fillers = locked(&self.state).fillers.len();
+                    record(format!("{}: no connection comes up ({fillers} fill its queue)", self.name));
+                    return Ok(());
+                }
+                Err(error) => return Err(error.to_string()),
             }
         }
         Err("connections still come up".to_owned())
