Review case 3: requests in vain fill the SIP front, an exchange's release gets 503

One bad client that is turned away 20,000 times fills the table of SIP transactions for 32 s; a release that an exchange sends then is answered 503 and never reaches the caller.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -6,7 +6,7 @@
 test -x review/bin/standin && test -x target/release/mallowring || { echo "build first"; exit 2; }
 PROXY_PID_FILE=$(mktemp) || exit 2
 export PROXY_PID_FILE
-review/bin/standin cold "$here" &
+review/bin/standin flood "$here" &
 standin=$!
 # If this script is ended from outside, so are the processes that it started.
 trap 'kill -KILL "$standin" $(cat "$PROXY_PID_FILE") 2>/dev/null; rm -f "$PROXY_PID_FILE"; exit 2' HUP INT TERM
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -24,7 +24,7 @@
     match case.as_str() {
         "datagram" => cases::datagram(),
         "restart" => cases::restart(),
-        "cold" => cases::cold(),
+        "flood" => cases::flood(),
         _ => world::finish(2, "no such case"),
     }
 }
--- a/review/standin/operators.rs
+++ b/review/standin/operators.rs
@@ -1,5 +1,6 @@
 //! The operators' own service: its file, an exchange and callers that speak SIP over TCP (RFC 3261).
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex};
@@ -101,6 +102,9 @@
         "BYE" => {
             let _ = sip::send(stream, &message.response("200 OK", &[], b""));
         }
+        "" if message.get("CSeq").ends_with("BYE") => {
+            record(format!("exchange: its release is answered: {}", message.first));
+        }
         _ => {}
     }
 }
@@ -212,3 +216,55 @@
         log.lock().unwrap_or_else(|e| e.into_inner()).push((now(), message));
     }
 }
+
+/// A client that asks for calls of a class that does not exist, hundreds at once, and the same again as soon as all are
+/// turned away; for some time. Returns how many requests were turned away, by status.
+pub fn ask_in_vain(proxy: SocketAddr, seconds: f64) -> BTreeMap<u16, usize> {
+    const AT_ONCE: usize = 300;
+    let end = now() + seconds;
+    let mut turned_away = BTreeMap::new();
+    let mut asked = 0;
+    while now() < end {
+        let Ok(stream) = TcpStream::connect_timeout(&proxy, Duration::from_secs(1)) else {
+            return turned_away;
+        };
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(Duration::from_secs(3)));
+        let local = stream.local_addr().expect("an address");
+        let mut reader = Reader::new(&stream);
+        'connected: while now() < end {
+            let first = asked;
+            asked += AT_ONCE;
+            let writing = stream.try_clone().expect("a descriptor");
+            let writer = thread::spawn(move || {
+                for n in first..first + AT_ONCE {
+                    let headers = [
+                        ("Via", &*format!("SIP/2.0/TCP {local};branch=z9hG4bKvain{n}")),
+                        ("Max-Forwards", "70"),
+                        ("From", &*format!("<sip:vain@{local}>;tag=vain{n}")),
+                        ("To", "<sip:50210009@127.0.0.1>"),
+                        ("Call-ID", &*format!("vain{n}")),
+                        ("CSeq", "1 INVITE"),
+                        ("Contact", &*format!("<sip:vain@{local};transport=tcp>")),
+                        ("X-Tier", "no-such-class"),
+                    ];
+                    let invite = Message::request("INVITE", "sip:50210009@127.0.0.1", &headers, b"");
+                    if sip::send(&writing, &invite).is_err() {
+                        return;
+                    }
+                }
+            });
+            let mut answered = 0;
+            while answered < AT_ONCE {
+                // The proxy may close the connection: the client comes again.
+                let Some(message) = reader.next() else { break 'connected };
+                if message.is_final_answer() {
+                    answered += 1;
+                    *turned_away.entry(message.status()).or_insert(0) += 1;
+                }
+            }
+            let _ = writer.join();
+        }
+    }
+    turned_away
+}
