--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -70,6 +70,8 @@
     DiscoveryMoves,
     /// A proxy gets SIGTERM, and SIGKILL at the earliest allowed moment.
     Terminate,
+    /// A proxy gets SIGTERM and no SIGKILL: it runs until its last call is over.
+    TerminateOnly,
     /// A proxy gets SIGKILL.
     Kill,
     /// The process of a proxy is stopped and continued (SIGSTOP, SIGCONT).
@@ -88,7 +90,7 @@
 
 impl FaultKind {
     /// All kinds, in the order in which plans draw from them.
-    pub const ALL: [FaultKind; 38] = [
+    pub const ALL: [FaultKind; 39] = [
         FaultKind::Vanish,
         FaultKind::CutOff,
         FaultKind::Hang,
@@ -120,6 +122,7 @@
         FaultKind::DiscoverySilent,
         FaultKind::DiscoveryMoves,
         FaultKind::Terminate,
+        FaultKind::TerminateOnly,
         FaultKind::Kill,
         FaultKind::Stop,
         FaultKind::GiveUpEarly,
@@ -163,6 +166,7 @@
             FaultKind::DiscoverySilent => "discovery-silent",
             FaultKind::DiscoveryMoves => "discovery-moves",
             FaultKind::Terminate => "terminate",
+            FaultKind::TerminateOnly => "terminate-only",
             FaultKind::Kill => "kill",
             FaultKind::Stop => "stop",
             FaultKind::GiveUpEarly => "give-up-early",
@@ -180,6 +184,7 @@
                 Target::Discovery
             }
             FaultKind::Terminate
+            | FaultKind::TerminateOnly
             | FaultKind::Kill
             | FaultKind::Stop
             | FaultKind::GiveUpEarly
@@ -216,7 +221,8 @@
             | FaultKind::Close
             | FaultKind::DiscoveryMoves
             | FaultKind::Kill
-            | FaultKind::Terminate => (0.1, 0.5),
+            | FaultKind::Terminate
+            | FaultKind::TerminateOnly => (0.1, 0.5),
             FaultKind::SilentConnection => (1.0, 6.0),
             _ => (1.0, 5.0),
         }
--- a/crates/soak/src/judge/calls.rs
+++ b/crates/soak/src/judge/calls.rs
@@ -2,7 +2,7 @@
 
 use mallowring_standin::record::Observation;
 
-use super::view::{Attempt, CallHistory, TrialContext, CLOSE_CROSSING_S};
+use super::view::{Attempt, CallHistory, TrialContext, ANSWER_DUE_AFTER_TERM_S, CLOSE_CROSSING_S};
 use super::*;
 
 /// Time in seconds after the deadline within which a final answer earns nothing but is no breach.
@@ -31,6 +31,7 @@
 pub fn check(call: &CallHistory, context: &TrialContext, parameters: &DeploymentParameters) -> Vec<Breach> {
     let mut breaches = check_order(call, parameters);
     breaches.extend(answer(call, context));
+    breaches.extend(answer_before_kill(call, context, parameters));
     breaches.extend(pause(call, parameters));
     breaches.extend(sent_after_answer(call, context));
     breaches.extend(call.attempts.iter().filter_map(|attempt| drain(call, attempt, context, parameters)));
@@ -70,6 +71,30 @@
     breach(ANSWER, call, limit, details)
 }
 
+/// A set-up that crosses the earliest SIGKILL within [`CLOSE_CROSSING_S`] is sent again on a new connection.
+fn answer_before_kill(
+    call: &CallHistory,
+    context: &TrialContext,
+    parameters: &DeploymentParameters,
+) -> Option<Breach> {
+    let terminated = context.terminated_before(call.proxy, call.requested_at)?;
+    let earliest_kill = terminated + parameters.kill_after_s;
+    let is_due = call.requested_at > terminated + ANSWER_DUE_AFTER_TERM_S
+        && call.requested_at <= earliest_kill - CLOSE_CROSSING_S;
+    let is_answer = |o: &Observation| matches!(o, Observation::Answered { .. } | Observation::GaveUp);
+    let answered = call.first(is_answer).unwrap_or(f64::INFINITY);
+    let ended = context.proxy_end_after(call.proxy, call.requested_at).unwrap_or(f64::INFINITY);
+    if !is_due || answered <= earliest_kill || ended < earliest_kill {
+        return None;
+    }
+    let details = format!(
+        "a set-up {:.3} s after SIGTERM had no answer {:.3} s after it",
+        call.requested_at - terminated,
+        parameters.kill_after_s
+    );
+    breach(ANSWER_BEFORE_KILL, call, earliest_kill, details)
+}
+
 fn second_answer(call: &CallHistory) -> Option<Breach> {
     let mut answers =
         call.entries.iter().filter(|entry| matches!(entry.observation, Observation::Answered { .. }));
@@ -176,14 +201,17 @@
     breach(DRAIN, call, attempt.at, details)
 }
 
-/// Returns whether a release to the caller was due at a given time: the call was established, a caller connection was
-/// open, the caller had not hung up, and the proxy was running.
+/// Returns whether a release to the caller was due at a given time: the call was established, the caller had not hung
+/// up and could be reached, and the proxy was not killed. A proxy that exits by itself owes what was due until then; a
+/// call that it leaves standing was due.
 fn is_release_due(call: &CallHistory, context: &TrialContext, from: f64, due_at: f64) -> bool {
     let established = call.answer().is_some_and(|(at, status, _)| status == 200 && at <= from);
     let hung_up =
         call.first(|observation| *observation == Observation::HungUp).is_some_and(|at| at <= due_at);
-    let ended = context.proxy_end_after(call.proxy, call.requested_at).is_some_and(|end| end <= due_at);
-    established && !hung_up && !ended && context.caller_was_connected(call.proxy, from, due_at)
+    let killed = context.proxy_kill_after(call.proxy, call.requested_at).is_some_and(|at| at <= due_at);
+    let exit = context.proxy_exit_after(call.proxy, call.requested_at).unwrap_or(f64::INFINITY);
+    let (from, due_at) = (from.min(exit), due_at.min(exit));
+    established && !hung_up && !killed && context.caller_was_connected(call.proxy, from, due_at)
 }
 
 fn release_received_at(call: &CallHistory) -> f64 {
--- a/crates/soak/src/judge/mod.rs
+++ b/crates/soak/src/judge/mod.rs
@@ -39,6 +39,8 @@
     pub overload_multiple: f64,
     /// ... over a window of this many seconds.
     pub overload_window_s: f64,
+    /// Earliest time of SIGKILL after SIGTERM, in seconds (PROTOCOL, 'Figures').
+    pub kill_after_s: f64,
 }
 
 /// A rule and its source.
@@ -54,6 +56,11 @@
 /// no breach.
 pub const ANSWER: Rule =
     Rule { name: "answer", source: "STANDING, 'The whole fleet': a request has to get its final answer" };
+/// A set-up that comes while its proxy shuts down is answered before the earliest SIGKILL, whether or not it is sent.
+pub const ANSWER_BEFORE_KILL: Rule = Rule {
+    name: "answer before the kill",
+    source: "PROTOCOL, 'Figures': whatever SIGKILL finds unanswered; the newest letter: clients go on until then",
+};
 /// A call gets at most one final answer.
 pub const SECOND_ANSWER: Rule = Rule { name: "second answer", source: "PROTOCOL, 'The rules on sockets'" };
 /// A successful answer is the unchanged answer of an exchange to this call.
@@ -93,8 +100,9 @@
 pub const DESCRIPTORS: Rule = Rule { name: "descriptors", source: "DEPLOY, 'Limits'" };
 
 /// All rules, in the order of the report.
-pub const RULES: [Rule; 15] = [
+pub const RULES: [Rule; 16] = [
     ANSWER,
+    ANSWER_BEFORE_KILL,
     SECOND_ANSWER,
     DESCRIPTION,
     ONE_ATTEMPT,
--- a/crates/soak/src/judge/view.rs
+++ b/crates/soak/src/judge/view.rs
@@ -141,6 +141,8 @@
     disturbed_spans: BTreeMap<String, Vec<Span>>,
     /// Times at which the process of an exchange ended.
     process_ends: BTreeMap<String, Vec<f64>>,
+    /// Spans in which a caller could be reached: from its connection until it closed that itself, or the process of the
+    /// proxy ended. A proxy that closes the connection still owes the releases of the calls.
     caller_spans: BTreeMap<usize, Vec<Span>>,
     stalls: Vec<Span>,
     /// Stalls of the trial that are faults of its plan.
@@ -198,8 +200,18 @@
                     context.planned_stalls.push(Span { from: *at, to: at + seconds });
                 }
                 Observation::Terminated => context.terminated.entry(*proxy).or_default().push(*at),
-                Observation::Killed => context.killed.entry(*proxy).or_default().push(*at),
-                Observation::ProxyEnded { .. } => context.exited.entry(*proxy).or_default().push(*at),
+                Observation::Killed | Observation::ProxyEnded { .. } => {
+                    let killed = entry.observation == Observation::Killed;
+                    let ends = if killed { &mut context.killed } else { &mut context.exited };
+                    ends.entry(*proxy).or_default().push(*at);
+                    connected_since.retain(|(of, _), from| {
+                        if of == proxy {
+                            let span = Span { from: *from, to: *at };
+                            context.caller_spans.entry(*proxy).or_default().push(span);
+                        }
+                        of != proxy
+                    });
+                }
                 Observation::ProxyStarted => context.started.entry(*proxy).or_default().push(*at),
                 Observation::RosterPublished { exchange, ready } => {
                     context.published_states.entry(exchange.clone()).or_default().push((*at, *ready));
@@ -252,7 +264,7 @@
         ends.filter(|end| *end >= at).reduce(f64::min)
     }
 
-    /// Returns whether one caller connection to the proxy was open throughout a span.
+    /// Returns whether one caller could be reached throughout a span.
     pub fn caller_was_connected(&self, proxy: usize, from: f64, to: f64) -> bool {
         let spans = self.caller_spans.get(&proxy);
         spans.is_some_and(|spans| spans.iter().any(|span| span.from <= from && span.to >= to))
@@ -260,8 +272,25 @@
 
     /// Returns the first time at or after `after` at which the proxy's process was killed or exited.
     pub fn proxy_end_after(&self, proxy: usize, after: f64) -> Option<f64> {
-        let ends = [&self.killed, &self.exited].into_iter().filter_map(|of| of.get(&proxy)).flatten();
-        ends.copied().filter(|at| *at >= after).reduce(f64::min)
+        let ends = [self.proxy_kill_after(proxy, after), self.proxy_exit_after(proxy, after)];
+        ends.into_iter().flatten().reduce(f64::min)
+    }
+
+    /// Returns the first time at or after `after` at which the proxy's process was killed.
+    pub fn proxy_kill_after(&self, proxy: usize, after: f64) -> Option<f64> {
+        first_after(&self.killed, proxy, after)
+    }
+
+    /// Returns the first time at or after `after` at which the proxy's process exited by itself.
+    pub fn proxy_exit_after(&self, proxy: usize, after: f64) -> Option<f64> {
+        first_after(&self.exited, proxy, after)
+    }
+
+    /// Returns when SIGTERM was first sent to the proxy's process that ran at a given time, if it was before.
+    pub fn terminated_before(&self, proxy: usize, at: f64) -> Option<f64> {
+        let started = self.proxy_start_before(proxy, at).unwrap_or(f64::NEG_INFINITY);
+        let terminated = self.terminated.get(&proxy).into_iter().flatten().copied();
+        terminated.filter(|sent| *sent >= started && *sent <= at).reduce(f64::min)
     }
 
     /// Returns whether a request that was unanswered at the end of its proxy is exempt: the proxy was killed without
@@ -318,6 +347,10 @@
     }
 }
 
+fn first_after(times: &BTreeMap<usize, Vec<f64>>, proxy: usize, after: f64) -> Option<f64> {
+    times.get(&proxy).into_iter().flatten().copied().filter(|at| *at >= after).reduce(f64::min)
+}
+
 fn overlaps_any(spans: &[Span], call: &CallHistory) -> bool {
     let times = call.entries.iter().map(|entry| entry.at);
     let last = times.fold(call.requested_at + call.deadline, f64::max);
--- a/crates/soak/src/trial/faults.rs
+++ b/crates/soak/src/trial/faults.rs
@@ -75,9 +75,10 @@
             }
             FaultKind::DiscoveryDown | FaultKind::DiscoverySilent => self.stop_discovery(&fault).await,
             FaultKind::DiscoveryMoves => self.move_discovery().await,
-            FaultKind::Terminate => {
+            FaultKind::Terminate | FaultKind::TerminateOnly => {
                 let (supervised, discovery) = (&self.proxies[fault.target], &self.discoveries[fault.target]);
-                supervised.terminate(self.plan.kill_after(), discovery).await;
+                let kill_after = (fault.kind == FaultKind::Terminate).then_some(self.plan.kill_after());
+                supervised.terminate(kill_after, discovery).await;
             }
             FaultKind::Kill => self.proxies[fault.target].kill(&self.discoveries[fault.target]).await,
             FaultKind::GiveUpEarly => {
--- a/crates/soak/src/trial/mod.rs
+++ b/crates/soak/src/trial/mod.rs
@@ -80,6 +80,7 @@
         warm_up_s: 15.0,
         overload_multiple: 4.0,
         overload_window_s: 2.0,
+        kill_after_s: plan.kill_after(),
     }
 }
 
--- a/crates/soak/src/trial/proxies.rs
+++ b/crates/soak/src/trial/proxies.rs
@@ -118,9 +118,9 @@
         }
     }
 
-    /// Sends SIGTERM, every half second again, and SIGKILL after `kill_after` seconds if the process still runs; then
-    /// starts another process.
-    pub async fn terminate(&self, kill_after: f64, discovery: &Discovery) {
+    /// Sends SIGTERM, every half second again, and SIGKILL after `kill_after` seconds, if given and if the process still
+    /// runs; then starts another process.
+    pub async fn terminate(&self, kill_after: Option<f64>, discovery: &Discovery) {
         if self.process_state.get() != ProcessState::Running {
             return;
         }
@@ -137,7 +137,7 @@
                 self.record_event(Observation::ProxyEnded { clean });
                 break;
             }
-            if now() - terminated_at >= kill_after {
+            if kill_after.is_some_and(|kill_after| now() - terminated_at >= kill_after) {
                 self.kill_now().await;
                 break;
             }
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -19,6 +19,7 @@
         warm_up_s: 15.0,
         overload_multiple: 4.0,
         overload_window_s: 2.0,
+        kill_after_s: 2.7,
     }
 }
 
@@ -333,6 +334,54 @@
     assert_keeps_all(record_with_end(entry(5.0, "trial", "", Observation::Killed)));
 }
 
+#[test]
+fn a_proxy_that_closes_the_connection_or_exits_still_owes_the_releases() {
+    let trial = |at, observation| entry(at, "trial", "", observation);
+    let record_with = |more: Vec<Entry>| {
+        let mut record = established_call();
+        record.push(trial(-9.0, Observation::ProxyStarted));
+        record.push(trial(-8.0, Observation::ProxyReady));
+        record.push(trial(1.0, Observation::Terminated));
+        record.push(exchange(3.0, Observation::CallEnded));
+        record.push(exchange(3.0, Observation::ReleaseSent));
+        record.extend(more);
+        record
+    };
+    let closed = || entry(2.0, "c", "", Observation::DisconnectedByProxy);
+    let sorted = |more: Vec<Entry>| {
+        let mut rules = broken_rules(record_with(more));
+        rules.sort_unstable();
+        rules
+    };
+    let both = ["release within 1 s", "told within 8 s"];
+    assert_eq!(sorted(vec![closed()]), both, "the proxy runs on");
+    let exit = |at| trial(at, Observation::ProxyEnded { clean: true });
+    assert_eq!(sorted(vec![closed(), exit(2.5)]), both, "it leaves a call standing");
+    assert_eq!(sorted(vec![closed(), exit(3.5)]), both, "it leaves with a release that it owes");
+    let released = caller(4.05 - MILLISECOND_S, Observation::ReleaseReceived(16));
+    assert_keeps_all(record_with(vec![closed(), released, exit(4.1)]));
+    assert_keeps_all(record_with(vec![closed(), trial(2.5, Observation::Killed)]));
+    assert_keeps_all(record_with(vec![entry(2.0, "c", "", Observation::CallerDisconnected), exit(3.5)]));
+}
+
+#[test]
+fn a_set_up_during_a_shutdown_is_answered_before_the_earliest_kill_whether_or_not_it_comes() {
+    let record_with = |requested: f64, answered_at: f64| {
+        vec![
+            entry(-9.0, "trial", "", Observation::ProxyStarted),
+            entry(-8.0, "trial", "", Observation::ProxyReady),
+            entry(0.0, "trial", "", Observation::Terminated),
+            caller(requested, Observation::Requested { deadline: 9.0 }),
+            caller(answered_at, answered(503)),
+        ]
+    };
+    assert_keeps_all(record_with(0.7 + MILLISECOND_S, 2.7 - MILLISECOND_S));
+    assert_breaks_only("answer before the kill", record_with(0.7 + MILLISECOND_S, 2.7 + MILLISECOND_S));
+    assert_keeps_all(record_with(0.7 - MILLISECOND_S, 2.7 + MILLISECOND_S));
+    assert_breaks_only("answer before the kill", record_with(2.65 - MILLISECOND_S, 2.7 + MILLISECOND_S));
+    assert_keeps_all(record_with(2.65 + MILLISECOND_S, 2.7 + MILLISECOND_S));
+}
+
 #[test]
 fn a_cold_exchange_that_fails_through_overload() {
     // 4 x 10/s x 2 s x (0.34 + 0.66 x 0.5 / 15) = 28.96; plus 3 times its square root, plus 3: 48.1.
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -24,6 +24,8 @@
     established: RefCell<BTreeSet<String>>,
     /// Time at which the connection was closed.
     closed_at: Cell<Option<f64>>,
+    /// The caller itself has closed the connection.
+    closed_by_caller: Cell<bool>,
     /// Time since which the connection has had no call.
     idle_since: Cell<f64>,
 }
@@ -74,7 +76,9 @@
         let reading = async move {
             read_messages(stream, &writer, &name, proxy, &record, &state).await;
             state.closed_at.set(Some(now()));
-            record.add(&name, proxy, "", Observation::CallerDisconnected);
+            if !state.closed_by_caller.get() {
+                record.add(&name, proxy, "", Observation::DisconnectedByProxy);
+            }
         };
         executor.spawn(reading).detach();
         Ok(caller)
@@ -159,6 +163,9 @@
         for call_id in std::mem::take(&mut *self.state.pending.borrow_mut()).into_keys() {
             self.record.add(&self.name, self.proxy, &call_id, Observation::GaveUp);
         }
+        if self.state.closed_at.get().is_none() && !self.state.closed_by_caller.replace(true) {
+            self.record.add(&self.name, self.proxy, "", Observation::CallerDisconnected);
+        }
         let _ = self.stream.shutdown(Shutdown::Both);
     }
 }
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -32,8 +32,10 @@
     HungUp,
     /// A caller's connection was established.
     CallerConnected,
-    /// A caller's connection was closed.
+    /// A caller closed its connection.
     CallerDisconnected,
+    /// The proxy closed a caller's connection, or its process ended.
+    DisconnectedByProxy,
     /// A complete set-up arrived at an exchange, which may read it later.
     SetUpArrived,
     /// An exchange read a complete set-up.
--- a/src/limits/memory.rs
+++ b/src/limits/memory.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use crate::interface::Time;
 use crate::sip::message::Message;
 
 /// Memory of the program before the first call, in bytes.
@@ -54,12 +55,14 @@
     limit: usize,
     bytes: usize,
     waiting: VecDeque<Message>,
+    /// When the last one was added.
+    last_added: Option<Time>,
 }
 
 impl WaitingReleases {
     /// Creates an empty queue of at most `limit` bytes.
     pub fn new(limit: usize) -> Self {
-        WaitingReleases { limit, bytes: 0, waiting: VecDeque::new() }
+        WaitingReleases { limit, bytes: 0, waiting: VecDeque::new(), last_added: None }
     }
 
     /// Approximate number of bytes that a waiting message occupies.
@@ -69,7 +72,8 @@
     }
 
     /// Adds a release, and returns how many releases were dropped to make room.
-    pub fn push(&mut self, release: Message) -> usize {
+    pub fn push(&mut self, now: Time, release: Message) -> usize {
+        self.last_added = Some(now);
         self.bytes += Self::byte_size(&release);
         self.waiting.push_back(release);
         let before = self.waiting.len();
@@ -83,9 +87,15 @@
     /// Removes and returns all releases, oldest first.
     pub fn take_all(&mut self) -> VecDeque<Message> {
         self.bytes = 0;
+        self.last_added = None;
         std::mem::take(&mut self.waiting)
     }
 
+    /// When the last of the waiting releases was added; `None` if none waits.
+    pub fn last_added(&self) -> Option<Time> {
+        self.last_added
+    }
+
     /// Bytes that the waiting releases occupy.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -123,7 +133,7 @@
     fn the_oldest_releases_are_dropped_over_the_limit() {
         let release = |n: usize| Message::request("BYE", "sip:x@net").with("Call-ID", n);
         let mut waiting = WaitingReleases::new(10 * WaitingReleases::byte_size(&release(0)));
-        let dropped: usize = (0..25).map(|n| waiting.push(release(n))).sum();
+        let dropped: usize = (0..25).map(|n| waiting.push(Time(0.0), release(n))).sum();
         assert!(dropped >= 15, "{dropped}");
         let kept = waiting.take_all();
         assert_eq!(kept.len(), 25 - dropped);
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -21,8 +21,6 @@
 
 /// The proxy reports itself ready after this time even if the state of some trunk group has not arrived.
 const READINESS_TIMEOUT: Duration = Duration::from_secs(3);
-/// Shortest time in seconds from SIGTERM to the end: requests still arrive during it, on the SIP front too.
-const MIN_DRAIN_TIME: Secs = 1.0;
 /// Interval between two summaries of the counters in the log.
 const SUMMARY_INTERVAL: Duration = Duration::from_secs(60);
 /// Interval of the checks whether a shutdown is complete.
@@ -61,10 +59,26 @@
     CheckDrained,
     /// After [`EngineMessage::Drain`]: the platform front has no connection left and accepts no more.
     CallersDisconnected,
+    /// The SIP front's answer to [`SipFrontMessage::CheckReleases`].
+    SipReleases {
+        /// Whether it has releases that are not delivered.
+        pending: bool,
+    },
     /// Log the counters.
     LogSummary,
 }
 
+/// A shutdown in progress, as the engine sees it.
+struct Drain {
+    shutdown: Shutdown,
+    /// The platform front has no connection left and accepts no more.
+    callers_disconnected: bool,
+    /// When the call table was first seen without a call.
+    last_call_ended: Option<Time>,
+    /// The SIP front has releases that are not delivered, or has not reported yet that it has none.
+    sip_releases_pending: bool,
+}
+
 /// State of the engine actor.
 pub struct Engine {
     /// The call table.
@@ -97,9 +111,7 @@
         let mut peers: BTreeMap<ExchangeId, Sender<PeerActorMessage>> = BTreeMap::new();
         let mut effects = Vec::new();
         let (mut ready, mut awaiting_status) = (false, true);
-        let mut drain_started: Option<Time> = None;
-        let mut shutdown: Option<Shutdown> = None;
-        let mut callers_disconnected = self.platform.is_none();
+        let mut drain: Option<Drain> = None;
         self.post_later(READINESS_TIMEOUT, || EngineMessage::ReadinessTimeout);
         self.post_later(SUMMARY_INTERVAL, || EngineMessage::LogSummary);
         while let Ok(message) = messages.recv().await {
@@ -138,38 +150,27 @@
                         standing = self.table.established_count(),
                         "draining"
                     );
-                    if drain_started.is_some() {
-                        continue;
+                    if drain.is_none() {
+                        drain = Some(self.begin_drain(now));
                     }
-                    drain_started = Some(now);
-                    let active_shutdown =
-                        *shutdown.get_or_insert(Shutdown::begin(now, self.longest_deadline));
-                    if let Some(platform) = self.platform.clone() {
-                        // Sent from a task of its own, as this actor never waits for another one.
-                        let send_drain =
-                            async move { post(&platform, PlatformMessage::Drain(active_shutdown)).await };
-                        self.tasks.spawn(send_drain).detach();
-                    }
-                    self.post_later(DRAIN_CHECK_INTERVAL, || EngineMessage::CheckDrained);
                 }
                 EngineMessage::CheckDrained => {
-                    let lingered = drain_started.is_some_and(|at| now - at >= MIN_DRAIN_TIME);
-                    if lingered
-                        && callers_disconnected
-                        && self.table.waiting_count() + self.table.established_count() == 0
-                    {
+                    if drain.as_mut().is_some_and(|drain| self.advance_drain(now, drain, &mut effects)) {
                         tracing::info!(counters = telemetry::summary(), "drained");
                         return;
                     }
-                    if shutdown.is_some_and(|s| !s.accepts_set_ups(now)) {
-                        self.table.stop_admitting();
+                    self.post_later(DRAIN_CHECK_INTERVAL, || EngineMessage::CheckDrained);
+                }
+                EngineMessage::CallersDisconnected => {
+                    if let Some(drain) = &mut drain {
+                        drain.callers_disconnected = true;
                     }
-                    if shutdown.is_some_and(|s| s.must_refuse_open(now)) {
-                        self.table.refuse_waiting(now, &mut effects);
+                }
+                EngineMessage::SipReleases { pending } => {
+                    if let Some(drain) = &mut drain {
+                        drain.sip_releases_pending = pending;
                     }
-                    self.post_later(DRAIN_CHECK_INTERVAL, || EngineMessage::CheckDrained);
                 }
-                EngineMessage::CallersDisconnected => callers_disconnected = true,
                 EngineMessage::LogSummary => {
                     telemetry::set_call_record_bytes(self.table.bytes_in_use());
                     tracing::info!(counters = telemetry::summary(), "counters since the start");
@@ -187,6 +188,47 @@
         }
     }
 
+    /// Starts a shutdown: tells the platform front, and schedules the first check.
+    fn begin_drain(&self, now: Time) -> Drain {
+        let shutdown = Shutdown::begin(now, self.longest_deadline);
+        if let Some(platform) = self.platform.clone() {
+            // Sent from a task of its own, as this actor never waits for another one.
+            let send_drain = async move { post(&platform, PlatformMessage::Drain(shutdown)).await };
+            self.tasks.spawn(send_drain).detach();
+        }
+        self.post_later(DRAIN_CHECK_INTERVAL, || EngineMessage::CheckDrained);
+        Drain {
+            shutdown,
+            callers_disconnected: self.platform.is_none(),
+            last_call_ended: None,
+            sip_releases_pending: self.sip.is_some(),
+        }
+    }
+
+    /// Advances a shutdown; returns whether the proxy may exit.
+    fn advance_drain(&mut self, now: Time, drain: &mut Drain, effects: &mut Vec<CallEffect>) -> bool {
+        if !drain.shutdown.accepts_set_ups(now) {
+            self.table.stop_admitting();
+        }
+        if drain.shutdown.must_refuse_open(now) {
+            self.table.refuse_waiting(now, effects);
+        }
+        if self.table.waiting_count() + self.table.established_count() > 0 {
+            drain.last_call_ended = None;
+            drain.sip_releases_pending = self.sip.is_some();
+            return false;
+        }
+        let last_call_ended = *drain.last_call_ended.get_or_insert(now);
+        if let Some(sip) = &self.sip {
+            // If the front has ended, the time limit of the releases ends the wait for its report.
+            let _ = sip.try_send(SipFrontMessage::CheckReleases);
+        }
+        let releases_pending = drain.sip_releases_pending
+            || !self.peer_context.release_backlog.is_empty()
+            || self.peer_context.send_queues.total_bytes() > 0;
+        drain.callers_disconnected && drain.shutdown.may_exit(now, last_call_ended, releases_pending)
+    }
+
     fn post_later(&self, after: Duration, message: fn() -> EngineMessage) {
         let mailbox = self.mailbox.clone();
         let wait = async move {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -260,6 +260,7 @@
                 engine: engine.clone(),
                 permits,
                 send_queues,
+                release_backlog: Rc::default(),
             },
             mailbox: engine,
             timers,
--- a/src/net/peer/mod.rs
+++ b/src/net/peer/mod.rs
@@ -5,6 +5,7 @@
 mod connections;
 mod watch;
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -53,6 +54,27 @@
     RetirementOver(u64),
 }
 
+/// Number of releases that wait for a connection to their exchange, over all exchanges.
+#[derive(Debug, Default)]
+pub struct ReleaseBacklog(Cell<usize>);
+
+impl ReleaseBacklog {
+    /// Number of waiting releases.
+    pub fn len(&self) -> usize {
+        self.0.get()
+    }
+
+    /// Whether no release waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Replaces the number of one exchange, which was `before`.
+    fn replace(&self, before: usize, after: usize) {
+        self.0.set(self.0.get() + after - before);
+    }
+}
+
 /// Shared by the actors of all exchanges.
 #[derive(Clone)]
 pub struct PeerContext {
@@ -70,6 +92,8 @@
     pub permits: Rc<Permits>,
     /// The send queues of all connections.
     pub send_queues: Rc<SendQueues>,
+    /// The releases that wait for connections.
+    pub release_backlog: Rc<ReleaseBacklog>,
 }
 
 /// An open connection to the exchange.
@@ -125,6 +149,8 @@
     verify_next: bool,
     /// The value of [`Peer::is_busy`] last reported to the permits.
     reported_busy: bool,
+    /// The number of queued releases last counted in the backlog of all exchanges.
+    counted_releases: usize,
 }
 
 /// Starts the actor of an exchange and returns its mailbox. It ends when the roster removes the exchange.
@@ -152,6 +178,7 @@
         verifying_connection: None,
         verify_next: false,
         reported_busy: false,
+        counted_releases: 0,
         context,
     };
     peer.context.tasks.clone().spawn(peer.run(messages)).detach();
@@ -209,6 +236,7 @@
         tracing::info!(office = self.exchange.0, addr = %self.addr, "exchange removed from the roster");
         self.service_state = ServiceState::Removed;
         self.context.permits.remove_exchange(self.exchange);
+        self.count_queued_releases(0);
         self.end_waiting_set_ups().await;
         for connection_id in std::mem::take(&mut self.connections).into_keys() {
             self.end_pending_set_ups(connection_id).await;
@@ -294,6 +322,12 @@
             self.reported_busy = busy;
             self.context.permits.set_in_use(self.exchange, busy);
         }
+        self.count_queued_releases(self.queued_releases.len());
+    }
+
+    fn count_queued_releases(&mut self, queued: usize) {
+        let counted = std::mem::replace(&mut self.counted_releases, queued);
+        self.context.release_backlog.replace(counted, queued);
     }
 
     /// Sends a message to this actor after a time.
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -17,7 +17,7 @@
 use crate::calls::{CallEvent, CallerCommand, Front, RejectReason, Request};
 use crate::interface::*;
 use crate::limits::memory::WaitingReleases;
-use crate::recovery::shutdown::Shutdown;
+use crate::recovery::shutdown::{ConnectionUse, RemainingWork, Shutdown};
 use crate::sip::message::{header, Message, StartLine};
 use crate::telemetry;
 
@@ -87,6 +87,16 @@
     over_limit: bool,
 }
 
+impl CallerConnection {
+    fn present_use(&self) -> ConnectionUse {
+        ConnectionUse {
+            open: self.open_set_ups,
+            established: self.established_calls,
+            carries_calls: self.carries_calls,
+        }
+    }
+}
+
 /// What the platform front needs from the rest of the proxy.
 pub struct PlatformFront {
     /// Executor of new actors.
@@ -280,12 +290,13 @@
     /// Closes connections that are idle or have sent nothing valid for too long, and schedules the next check.
     async fn check_connections(&mut self) {
         let now = self.front.clock.now();
-        let shutdown = self.shutdown;
+        let (shutdown, orphaned) = (self.shutdown, self.orphaned_calls());
         let close_reason_of = |caller: &CallerConnection| {
+            let connection = caller.present_use();
             let nothing_useful = !caller.useful && now - caller.opened_at >= MESSAGE_TIMEOUT;
-            let idle = caller.established_calls == 0 && now - caller.last_active >= IDLE_TIMEOUT;
-            let closing_for_shutdown = shutdown
-                .is_some_and(|s| s.may_close_connection(now, caller.open_set_ups, caller.established_calls));
+            let idle = connection.is_over(orphaned) && now - caller.last_active >= IDLE_TIMEOUT;
+            let closing_for_shutdown =
+                shutdown.is_some_and(|s| s.may_close_connection(now, &connection, orphaned));
             match caller.open_set_ups {
                 0 if closing_for_shutdown => Some("shutting down"),
                 0 if nothing_useful => Some("nothing useful"),
@@ -308,9 +319,8 @@
         if self.accepting == Accepting::Ended && self.caller_connections.is_empty() {
             return;
         }
-        let refusal_time = self.shutdown.map(|shutdown| shutdown.refusal_time()).filter(|at| *at > now);
-        let next_check = refusal_time.map_or(f64::INFINITY, |at| at.0).min((now + CHECK_INTERVAL).0);
-        if self.front.timers.send((Time(next_check), TimerKind::ConnectionCheck)).await.is_err() {
+        let next_check = (now + CHECK_INTERVAL, TimerKind::ConnectionCheck);
+        if self.front.timers.send(next_check).await.is_err() {
             tracing::error!("the clock actor has ended: connections of callers are no longer checked");
         }
     }
@@ -325,7 +335,23 @@
         );
     }
 
-    /// During a shutdown: stops accepting once no caller has been connected for a while, and tells the engine when no
+    /// Number of established calls whose connections are gone.
+    fn orphaned_calls(&self) -> usize {
+        let is_orphaned =
+            |leg: &&CallerLeg| leg.answered && !self.caller_connections.contains_key(&leg.received_on);
+        self.calls.values().filter(is_orphaned).count()
+    }
+
+    /// What is left to do for the callers.
+    fn remaining_work(&self) -> RemainingWork {
+        RemainingWork {
+            established: self.calls.values().filter(|leg| leg.answered).count(),
+            last_undelivered_release: self.undelivered_releases.last_added(),
+            unconnected_since: self.no_callers_since,
+        }
+    }
+
+    /// During a shutdown: stops accepting once nothing is left to do for the callers, and tells the engine when no
     /// connection is left.
     async fn advance_shutdown(&mut self, now: Time) {
         if !self.caller_connections.is_empty() {
@@ -333,7 +359,7 @@
         }
         let Some(shutdown) = self.shutdown else { return };
         match self.accepting {
-            Accepting::Yes if shutdown.may_exit(now, self.no_callers_since) => {
+            Accepting::Yes if shutdown.may_stop_accepting(now, &self.remaining_work()) => {
                 self.accepting = Accepting::Stopping;
                 // If a stop is already queued, the listener stops anyway.
                 let _ = self.front.stop_accepting.try_send(());
@@ -573,7 +599,7 @@
                 call = message.get("Call-ID"),
                 "no connection of a caller is open: release queued"
             );
-            let dropped = self.undelivered_releases.push(message);
+            let dropped = self.undelivered_releases.push(self.front.clock.now(), message);
             if dropped > 0 {
                 telemetry::releases_dropped(dropped);
                 tracing::warn!(dropped, "releases dropped: too many wait for a connection of a caller");
--- a/src/net/sip.rs
+++ b/src/net/sip.rs
@@ -44,6 +44,8 @@
     Connection(SocketAddr, u64, ConnectionEvent),
     /// A timer of the SIP agent has expired.
     TimerExpired(AgentTimer),
+    /// Report to the engine whether releases are not delivered yet.
+    CheckReleases,
 }
 
 /// What the SIP front needs from the rest of the proxy.
@@ -153,6 +155,11 @@
                 self.agent.send_to_exchange(now, exchange, id, command, outputs)
             }
             SipFrontMessage::TimerExpired(alarm) => self.agent.on_timer(now, alarm, outputs),
+            SipFrontMessage::CheckReleases => {
+                let pending = self.agent.has_pending_releases();
+                // The engine may have ended by the time limit of the releases.
+                let _ = self.front.engine.try_send(EngineMessage::SipReleases { pending });
+            }
             SipFrontMessage::Datagram(addr, bytes) => self.datagram(now, addr, &bytes, outputs),
             SipFrontMessage::Accepted(stream, addr) => {
                 if self.connections.len() >= self.front.max_connections {
--- a/src/recovery/shutdown.rs
+++ b/src/recovery/shutdown.rs
@@ -1,10 +1,12 @@
-//! Phases of a shutdown: which requests the proxy still serves after SIGTERM, and when it may exit. No I/O, and time
-//! is a parameter.
+//! Phases of a shutdown: which requests the proxy still serves after SIGTERM, which connections it keeps, and when it
+//! may exit. No I/O, and time is a parameter.
 //!
 //! The platform's protocol gives the times. SIGKILL follows SIGTERM no earlier than after 0.7 s plus the longest
-//! deadline of the deployment, which counts as 3 s at most. Until then callers continue to send on open connections.
-//! A connection with calls may stay open until their releases are sent; new set-ups on it are refused, and it is
-//! closed when no call is left on it.
+//! deadline of the deployment, which counts as 3 s at most; it may come later or never. Until then callers continue to
+//! send on open connections. New set-ups are refused at once, and those that are still open shortly before the earliest
+//! SIGKILL get their final answer then, so that no set-up is left unanswered. A connection on which calls were set up
+//! stays open until they are over, and the proxy accepts connections until every release is delivered: as long as the
+//! process runs, it owes the callers the releases of their calls.
 
 use crate::interface::{Secs, Time};
 
@@ -19,6 +21,9 @@
 /// Minimum time in seconds from the close of the last connection to the exit: a caller whose set-up crossed the close
 /// sends it again on a new connection.
 const RECONNECT_PERIOD: Secs = 0.2;
+/// Time in seconds after the end of a call within which its release has to reach the caller, with the tolerance of the
+/// protocol. A release that could not be delivered by then is lost.
+pub const RELEASE_PERIOD: Secs = 8.05;
 
 /// A shutdown in progress.
 #[derive(Clone, Copy, Debug)]
@@ -28,6 +33,37 @@
     max_deadline: Secs,
 }
 
+/// What a caller's connection is needed for.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ConnectionUse {
+    /// Number of set-ups on it without a final answer.
+    pub open: usize,
+    /// Number of established calls that were set up on it.
+    pub established: usize,
+    /// It has carried a valid set-up, so that releases may be sent on it.
+    pub carries_calls: bool,
+}
+
+impl ConnectionUse {
+    /// Whether nothing is left that needs the connection, if `orphaned` established calls have lost the connections on
+    /// which they were set up: the releases of these go out on any other one that carries calls.
+    pub fn is_over(&self, orphaned: usize) -> bool {
+        let awaited = self.carries_calls && orphaned > 0;
+        self.open == 0 && self.established == 0 && !awaited
+    }
+}
+
+/// What a front still has to do for its callers.
+#[derive(Clone, Copy, Debug)]
+pub struct RemainingWork {
+    /// Number of established calls.
+    pub established: usize,
+    /// When the last of the releases was issued that wait for a connection of a caller.
+    pub last_undelivered_release: Option<Time>,
+    /// Since when no caller is connected.
+    pub unconnected_since: Time,
+}
+
 impl Shutdown {
     /// Starts a shutdown on SIGTERM. No caller of the deployment waits longer than `longest_deadline`.
     pub fn begin(now: Time, longest_deadline: Secs) -> Self {
@@ -44,55 +80,34 @@
         now >= self.refusal_time()
     }
 
-    /// When [`Shutdown::must_refuse_open`] begins. Connections have to be closed then, without delay.
+    /// When [`Shutdown::must_refuse_open`] begins.
     pub fn refusal_time(&self) -> Time {
         self.started + (SERVING_PERIOD + self.max_deadline - REFUSE_BEFORE_KILL)
     }
 
-    /// Whether a connection with this number of open set-ups and established calls may be closed. Just before the
-    /// earliest SIGKILL, connections with established calls may be closed as well: requests that arrived on them
-    /// later could not be answered.
-    pub fn may_close_connection(&self, now: Time, open: usize, established: usize) -> bool {
-        !self.accepts_set_ups(now) && open == 0 && (established == 0 || self.must_refuse_open(now))
+    /// Whether a connection may be closed. Established calls keep it open at all times: their callers wait for the
+    /// releases on it, and may not connect again.
+    pub fn may_close_connection(&self, now: Time, connection: &ConnectionUse, orphaned: usize) -> bool {
+        !self.accepts_set_ups(now) && connection.is_over(orphaned)
     }
 
-    /// Whether the proxy may stop accepting connections and exit, if it has had no connection since
-    /// `unconnected_since`.
-    pub fn may_exit(&self, now: Time, unconnected_since: Time) -> bool {
-        now - self.started >= MIN_SHUTDOWN && now - unconnected_since >= RECONNECT_PERIOD
+    /// Whether a front may stop accepting connections.
+    pub fn may_stop_accepting(&self, now: Time, remaining: &RemainingWork) -> bool {
+        now - self.started >= MIN_SHUTDOWN
+            && now - remaining.unconnected_since >= RECONNECT_PERIOD
+            && remaining.established == 0
+            && !is_release_owed(now, remaining.last_undelivered_release)
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn set_ups_are_served_then_refused_and_open_ones_are_refused_before_the_earliest_kill() {
-        let shutdown = Shutdown::begin(Time(10.0), 9.0);
-        assert!(shutdown.accepts_set_ups(Time(10.69)) && !shutdown.accepts_set_ups(Time(10.71)));
-        assert!(!shutdown.must_refuse_open(Time(13.5)) && shutdown.must_refuse_open(Time(13.56)));
-        assert!(
-            !shutdown.may_close_connection(Time(10.5), 0, 0)
-                && shutdown.may_close_connection(Time(10.8), 0, 0)
-        );
-        assert!(
-            !shutdown.may_close_connection(Time(10.8), 1, 0)
-                && !shutdown.may_close_connection(Time(10.8), 0, 1)
-        );
-        assert!(
-            shutdown.may_close_connection(Time(13.6), 0, 1)
-                && !shutdown.may_close_connection(Time(13.6), 1, 0)
-        );
-        let short = Shutdown::begin(Time(10.0), 0.3);
-        assert!(!short.must_refuse_open(Time(10.8)) && short.must_refuse_open(Time(10.9)));
+    /// Whether the proxy may exit, if its last call ended at `last_call_ended` and some releases may still be on their
+    /// way (`releases_pending`).
+    pub fn may_exit(&self, now: Time, last_call_ended: Time, releases_pending: bool) -> bool {
+        now - self.started >= MIN_SHUTDOWN
+            && !(releases_pending && is_release_owed(now, Some(last_call_ended)))
     }
+}
 
-    #[test]
-    fn the_proxy_exits_after_a_period_without_connections() {
-        let shutdown = Shutdown::begin(Time(10.0), 3.0);
-        assert!(!shutdown.may_exit(Time(10.9), Time(10.0)), "callers may be about to connect");
-        assert!(!shutdown.may_exit(Time(12.1), Time(12.0)), "a set-up may have crossed the close");
-        assert!(shutdown.may_exit(Time(12.21), Time(12.0)));
-    }
+/// Whether a release that was issued at this time still has to be delivered.
+fn is_release_owed(now: Time, issued: Option<Time>) -> bool {
+    issued.is_some_and(|issued| now - issued < RELEASE_PERIOD)
 }
--- a/src/sip/agent.rs
+++ b/src/sip/agent.rs
@@ -178,6 +178,12 @@
         self.handle_outputs(now, outputs, out);
     }
 
+    /// Whether a release is not delivered yet: its BYE has no final response, or waits for the caller's ACK.
+    pub fn has_pending_releases(&self) -> bool {
+        let awaits_ack = |side: &CallerSide| side.pending_release_cause.is_some();
+        self.transactions.awaits_response_to("BYE") || self.caller_sides.values().any(awaits_ack)
+    }
+
     /// Handles an expired timer.
     pub fn on_timer(&mut self, now: Time, timer: AgentTimer, out: &mut Vec<AgentOutput>) {
         match timer {
--- a/src/sip/transaction.rs
+++ b/src/sip/transaction.rs
@@ -263,6 +263,13 @@
         self.servers.get(key).map(|s| (s.hop, s.fallback))
     }
 
+    /// Whether a client transaction with this method has neither a final response nor failed.
+    pub fn awaits_response_to(&self, method: &str) -> bool {
+        let pending =
+            |client: &ClientTransaction| client.state == State::Proceeding && !client.outcome_reported;
+        self.clients.iter().any(|(key, client)| key.method == method && pending(client))
+    }
+
     /// Sends a response to a request. After a final response, further responses are dropped.
     pub fn respond(
         &mut self,
--- a/tests/standin/mod.rs
+++ b/tests/standin/mod.rs
@@ -59,6 +59,23 @@
     }
 }
 
+impl Proxy {
+    /// Starts the shutdown, as SIGTERM does.
+    pub fn shut_down(&self) {
+        self.stop.try_send(()).expect("the proxy runs");
+    }
+
+    /// Whether the proxy has ended, checked until the time is over.
+    pub fn has_ended_within(&self, limit: Duration) -> bool {
+        let start = std::time::Instant::now();
+        let has_ended = || self.thread.as_ref().is_none_or(|thread| thread.is_finished());
+        while !has_ended() && start.elapsed() < limit {
+            thread::sleep(Duration::from_millis(5));
+        }
+        has_ended()
+    }
+}
+
 impl Drop for Proxy {
     fn drop(&mut self) {
         let _ = self.stop.try_send(());
@@ -280,6 +297,8 @@
     calls: BTreeMap<String, String>,
     answer_requested: bool,
     held_set_up: Option<(Message, Reply)>,
+    /// The ACKs of established calls by number, with the way back.
+    acknowledged: BTreeMap<String, (Message, Reply)>,
 }
 
 #[derive(Clone)]
@@ -376,6 +395,12 @@
         answer(self.addr, &message, &reply);
     }
 
+    /// Releases the call that is established with a number.
+    pub fn release(&self, number: &str) {
+        let (ack, reply) = self.wait_until("the ACK of a call", |state| state.acknowledged.remove(number));
+        reply.send(&bye(self.addr, &ack, 16));
+    }
+
     /// The methods received for a number. Waits for the end of its last transaction: an ACK, or a BYE if the caller
     /// hangs up.
     pub fn wait_for_end(&self, number: &str) -> Vec<String> {
@@ -391,6 +416,18 @@
     reply.send(&success(addr, invite));
 }
 
+/// The release of a call whose 200 response this ACK has acknowledged.
+fn bye(addr: SocketAddr, ack: &Message, cause: u32) -> Message {
+    Message::request("BYE", "sip:mallowring@127.0.0.1")
+        .with("Via", format!("SIP/2.0/UDP {addr};rport;branch=z9hG4bK{}", next_number()))
+        .with("Max-Forwards", 70)
+        .with("From", ack.get("To").expect("a To header"))
+        .with("To", ack.get("From").expect("a From header"))
+        .with("Call-ID", ack.get("Call-ID").expect("a Call-ID header"))
+        .with("CSeq", "9 BYE")
+        .with("Reason", format!("Q.850;cause={cause}"))
+}
+
 fn with_tag(mut message: Message) -> Message {
     for (name, value) in &mut message.headers {
         if name == "To" && header::tag(value).is_none() {
@@ -465,17 +502,10 @@
             let refused = number == "reset" && record.invites < 2;
             if !refused {
                 let cause = if number == "cut" { 41 } else { 16 };
-                let bye = Message::request("BYE", "sip:mallowring@127.0.0.1")
-                    .with("Via", format!("SIP/2.0/UDP {addr};rport;branch=z9hG4bK{}", next_number()))
-                    .with("Max-Forwards", 70)
-                    .with("From", message.get("To").expect("a To header"))
-                    .with("To", message.get("From").expect("a From header"))
-                    .with("Call-ID", call_id)
-                    .with("CSeq", "9 BYE")
-                    .with("Reason", format!("Q.850;cause={cause}"));
-                answers.push(bye);
+                answers.push(bye(addr, &message, cause));
             }
         }
+        "ACK" => drop(state.acknowledged.insert(number.clone(), (message.clone(), reply.clone()))),
         _ => {}
     }
     answers.iter().for_each(|m| reply.send(m));
