--- a/crates/soak/src/judge/mod.rs
+++ b/crates/soak/src/judge/mod.rs
@@ -59,7 +59,8 @@
 /// A set-up that comes while its proxy shuts down is answered before the earliest SIGKILL, whether or not it is sent.
 pub const ANSWER_BEFORE_KILL: Rule = Rule {
     name: "answer before the kill",
-    source: "PROTOCOL, 'Figures': whatever SIGKILL finds unanswered; the newest letter: clients go on until then",
+    source:
+        "PROTOCOL, 'Figures': whatever SIGKILL finds unanswered; the newest letter: clients go on until then",
 };
 /// A call gets at most one final answer.
 pub const SECOND_ANSWER: Rule = Rule { name: "second answer", source: "PROTOCOL, 'The rules on sockets'" };
