--- a/src/admin/http.rs
+++ b/src/admin/http.rs
@@ -310,7 +310,7 @@
                         tracing::debug!(%error, "administration connection ended");
                     }
                 };
-                tasks.spawn(serve).detach();
+                tasks.spawn("administration connection", serve);
             }
             Ok(_) => tracing::warn!("too many administration connections: new connection closed"),
             Err(error) => {
--- a/src/admin/netconf.rs
+++ b/src/admin/netconf.rs
@@ -405,7 +405,7 @@
                         sessions.open.borrow_mut().remove(&id);
                         server.store.unlock(id);
                     };
-                    tasks.spawn(serve).detach();
+                    tasks.spawn("NETCONF session", serve);
                 }
                 Err(error) => {
                     tracing::error!(%error, "failed to accept a NETCONF connection");
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,6 +3,7 @@
 use std::process::ExitCode;
 
 use mallowring::config::Config;
+use mallowring::net::supervision;
 use mallowring::{net, telemetry};
 
 fn main() -> ExitCode {
@@ -16,6 +17,7 @@
     };
     let subscriber = tracing_subscriber::fmt().with_writer(std::io::stderr).with_ansi(false);
     subscriber.with_max_level(config.log_level).init();
+    supervision::log_panics();
     telemetry::install();
     match net::Node::bind(config).and_then(net::Node::run) {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -183,9 +183,9 @@
         });
         let number = send_queues.register(&send_queue);
         let (wake, wake_ups) = bounded(1);
-        tasks.spawn(write(send_queues.clone(), send_queue.clone(), wake_ups)).detach();
+        tasks.spawn("writer", write(send_queues.clone(), send_queue.clone(), wake_ups));
         let reading = send_queue.clone();
-        tasks.spawn(async move { read(stream, &reading, mailbox, message_timeout, wrap).await }).detach();
+        tasks.spawn("reader", async move { read(stream, &reading, mailbox, message_timeout, wrap).await });
         ConnectionHandle { send_queues: send_queues.clone(), send_queue, number, wake }
     }
 
--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -194,7 +194,7 @@
         if let Some(platform) = self.platform.clone() {
             // Sent from a task of its own, as this actor never waits for another one.
             let send_drain = async move { post(&platform, PlatformMessage::Drain(shutdown)).await };
-            self.tasks.spawn(send_drain).detach();
+            self.tasks.spawn("drain request", send_drain);
         }
         self.post_later(DRAIN_CHECK_INTERVAL, || EngineMessage::CheckDrained);
         Drain {
@@ -235,7 +235,7 @@
             Timer::after(after).await;
             post(&mailbox, message()).await;
         };
-        self.tasks.spawn(wait).detach();
+        self.tasks.spawn("engine timer", wait);
     }
 
     /// Sends a message to the actor of an exchange.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -10,6 +10,7 @@
 pub mod platform;
 pub mod roster;
 pub mod sip;
+pub mod supervision;
 
 use std::future::Future;
 use std::io;
@@ -21,7 +22,7 @@
 use smol::channel::{bounded, unbounded, Receiver, Sender};
 use smol::net::{TcpListener, UdpSocket};
 use smol::stream::StreamExt;
-use smol::{future, Async, LocalExecutor, Timer};
+use smol::{future, Async, Timer};
 
 use crate::admin::{self, TenantStore};
 use crate::calls::tenants::Tenants;
@@ -32,9 +33,7 @@
 use crate::sip::agent::{AgentConfig, CallClass};
 use conn::SendQueues;
 use permits::Permits;
-
-/// The single-threaded executor that runs all actors.
-pub type Executor = Rc<LocalExecutor<'static>>;
+pub use supervision::Executor;
 
 /// Number of queued messages from which [`post_throttled`] makes the sender wait. Mailboxes are otherwise unbounded:
 /// they use memory only for the messages they hold, and no message that has to be delivered is lost to a full
@@ -123,11 +122,10 @@
         self.reload.0.clone()
     }
 
-    /// Runs the proxy until a shutdown is requested and all calls have drained.
+    /// Runs the proxy until a shutdown is requested and all calls have drained. A panic of any task ends it with an
+    /// error, and closes its sockets.
     pub fn run(self) -> io::Result<()> {
-        let tasks: Executor = Rc::new(LocalExecutor::new());
-        let inner = tasks.clone();
-        smol::block_on(tasks.run(self.serve(inner)))
+        supervision::run(async |tasks| self.serve(tasks).await)
     }
 
     async fn serve(self, tasks: Executor) -> io::Result<()> {
@@ -149,7 +147,8 @@
             let (source_sender, source_updates) = bounded(1);
             let (stop_accepting, stop_requests) = bounded(1);
             roster_sources = Some(source_sender);
-            tasks.spawn(roster::run(platform_config.roster_source, source_updates, engine.clone())).detach();
+            let roster_client = roster::run(platform_config.roster_source, source_updates, engine.clone());
+            tasks.spawn("roster client", roster_client);
             let platform = platform::PlatformFront {
                 tasks: tasks.clone(),
                 engine: engine.clone(),
@@ -162,8 +161,8 @@
                 max_release_bytes: memory.releases,
                 stop_accepting,
             };
-            tasks.spawn(platform.run(messages)).detach();
-            tasks.spawn(platform::accept(listener, stop_requests, mailbox.clone())).detach();
+            tasks.spawn("platform front", platform.run(messages));
+            tasks.spawn("platform listener", platform::accept(listener, stop_requests, mailbox.clone()));
             tracing::info!(name = config.name, listen = %platform_config.listen, "started");
             front = Some(mailbox);
         }
@@ -196,20 +195,20 @@
                 connect_timeout: config.connect_timeout,
                 max_connections: config.max_descriptors / 3,
             };
-            tasks.spawn(sip.run(setup, udp, tcp, messages)).detach();
+            tasks.spawn("SIP front", sip.run(setup, udp, tcp, messages));
             sip_front = Some(mailbox);
         }
-        tasks
-            .spawn(clock::run(clock, timer_requests, engine.clone(), sip_front.clone(), front.clone()))
-            .detach();
+        let clock_actor = clock::run(clock, timer_requests, engine.clone(), sip_front.clone(), front.clone());
+        tasks.spawn("clock", clock_actor);
         if let Some(admin) = config.admin {
             let store = Rc::new(TenantStore::new(engine.clone(), admin.tenants_file));
             if let (Some(listener), Some((_, tokens))) = (http, admin.http) {
-                tasks.spawn(admin::http::run(tasks.clone(), listener, store.clone(), tokens)).detach();
+                let api = admin::http::run(tasks.clone(), listener, store.clone(), tokens);
+                tasks.spawn("administration listener", api);
             }
             if let (Some(listener), Some((_, tls, clients))) = (netconf, admin.netconf) {
                 let server = admin::netconf::Server { tasks: tasks.clone(), store, tls, clients };
-                tasks.spawn(server.run(listener)).detach();
+                tasks.spawn("NETCONF listener", server.run(listener));
             }
         }
         let (drain_requests, reload_requests) = (engine.clone(), reload.0);
@@ -222,7 +221,7 @@
                 }
             }
         };
-        tasks.spawn(handle_signals).detach();
+        tasks.spawn("signals", handle_signals);
         let reloads = reload.1;
         let reload_sources = async move {
             let mut origin = origin;
@@ -234,14 +233,14 @@
                 }
             }
         };
-        tasks.spawn(reload_sources).detach();
+        tasks.spawn("reload", reload_sources);
         let drain_requests = engine.clone();
         let handle_stop = async move {
             while stop.1.recv().await.is_ok() {
                 post(&drain_requests, engine::EngineMessage::Drain).await;
             }
         };
-        tasks.spawn(handle_stop).detach();
+        tasks.spawn("stop requests", handle_stop);
         let own_exchange = config.settings.own_exchange;
         let longest_deadline = config.settings.classes.iter().map(|c| c.give_up_after).fold(0.0, f64::max);
         let mut table = Table::new(config.settings, Tenants::new(config.tenants), config.seed, clock.now());
--- a/src/net/peer/connections.rs
+++ b/src/net/peer/connections.rs
@@ -65,7 +65,7 @@
             let connected = with_timeout(timeout, TcpStream::connect(addr)).await;
             let _ = mailbox.send(PeerActorMessage::Connected(connected, permit)).await;
         };
-        self.context.tasks.spawn(connect).detach();
+        self.context.tasks.spawn("connect to an exchange", connect);
     }
 
     pub(super) async fn connected(&mut self, stream: TcpStream, permit: Permit) {
--- a/src/net/peer/mod.rs
+++ b/src/net/peer/mod.rs
@@ -181,7 +181,7 @@
         counted_releases: 0,
         context,
     };
-    peer.context.tasks.clone().spawn(peer.run(messages)).detach();
+    peer.context.tasks.clone().spawn("exchange", peer.run(messages));
     mailbox
 }
 
@@ -338,7 +338,7 @@
             Timer::after(wait).await;
             let _ = mailbox.send(message).await;
         };
-        self.context.tasks.spawn(delayed).detach();
+        self.context.tasks.spawn("exchange timer", delayed);
     }
 
     async fn send_event(&self, input: CallEvent) {
--- a/src/net/sip.rs
+++ b/src/net/sip.rs
@@ -89,9 +89,9 @@
         messages: Receiver<SipFrontMessage>,
     ) {
         let (datagrams, datagram_queue) = bounded(MAX_WAITING_MESSAGES);
-        self.tasks.spawn(send(udp.clone(), datagram_queue)).detach();
-        self.tasks.spawn(receive(udp, self.mailbox.clone())).detach();
-        self.tasks.spawn(accept(tcp, self.mailbox.clone())).detach();
+        self.tasks.spawn("datagram sender", send(udp.clone(), datagram_queue));
+        self.tasks.spawn("datagram receiver", receive(udp, self.mailbox.clone()));
+        self.tasks.spawn("SIP listener", accept(tcp, self.mailbox.clone()));
         let mut state = State {
             front: self,
             agent: Agent::new(setup),
@@ -311,6 +311,6 @@
             let connected = with_timeout(timeout, TcpStream::connect(addr)).await;
             post(&mailbox, SipFrontMessage::Connected(addr, connected)).await;
         };
-        self.front.tasks.spawn(connect).detach();
+        self.front.tasks.spawn("SIP connect", connect);
     }
 }
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -1,14 +1,12 @@
 //! What the owner of a connection is told about its end.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use mallowring::net::conn::{CloseReason, ConnectionEvent, ConnectionHandle, SendQueues};
-use mallowring::net::Executor;
+use mallowring::net::{supervision, Executor};
 use mallowring::sip::message::Message;
 use smol::channel::{unbounded, Receiver};
 use smol::net::{TcpListener, TcpStream};
-use smol::LocalExecutor;
 
 /// Opens a connection with a send queue; the peer's end does not read.
 async fn open(tasks: &Executor) -> (ConnectionHandle, Receiver<ConnectionEvent>, TcpStream) {
@@ -26,8 +24,7 @@
 /// the peer was alive, and that it had read everything.
 #[test]
 fn a_connection_that_the_proxy_gives_up_is_not_taken_for_closed_by_its_peer() {
-    let tasks: Executor = Rc::new(LocalExecutor::new());
-    smol::block_on(tasks.clone().run(async {
+    let run = supervision::run(async |tasks| {
         let (handle, events, _peer) = open(&tasks).await;
         let mut message = Message::request("INVITE", "sip:1@net");
         message.body = vec![b'x'; 8 * 1024];
@@ -39,5 +36,7 @@
         drop(peer);
         let end = events.recv().await.expect("the reader reports the end");
         assert!(matches!(end, ConnectionEvent::Ended(CloseReason::Closed)), "{end:?}");
-    }));
+        Ok(())
+    });
+    run.expect("no task panicked");
 }
