--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -4,3 +4,4 @@
 pub mod connections;
 pub mod descriptors;
 pub mod memory;
+pub mod transactions;
--- a/src/sip/agent.rs
+++ b/src/sip/agent.rs
@@ -15,6 +15,7 @@
 use super::{failure_cause, q850_cause};
 use crate::calls::{CallEvent, CallerCommand, ExchangeCommand, Front, RejectReason, Request, SetUp};
 use crate::interface::*;
+use crate::limits::transactions::RequestKind;
 use crate::recovery::attempt_end::AttemptEnd;
 
 /// The value of the Allow header.
@@ -174,10 +175,28 @@
     /// Handles a received message.
     pub fn receive(&mut self, now: Time, from: Hop, message: Message, out: &mut Vec<AgentOutput>) {
         let mut outputs = std::mem::take(&mut self.pending_outputs);
-        self.transactions.receive(now, from, message, &mut outputs);
+        let kind = self.request_kind(&message);
+        self.transactions.receive(now, from, kind, message, &mut outputs);
         self.handle_outputs(now, outputs, out);
     }
 
+    /// Whether an established call or a pending set-up owes a request.
+    fn request_kind(&self, message: &Message) -> RequestKind {
+        let owed = match message.method() {
+            Some("BYE") => {
+                let id = DialogId::of_request(message);
+                self.calls_by_dialog.contains_key(&id) || self.attempts_by_dialog.contains_key(&id)
+            }
+            Some("CANCEL") => self.transactions.is_cancel_of_known_invite(message),
+            _ => false,
+        };
+        if owed {
+            RequestKind::Owed
+        } else {
+            RequestKind::New
+        }
+    }
+
     /// Whether a release is not delivered yet: its BYE has no final response, or waits for the caller's ACK.
     pub fn has_pending_releases(&self) -> bool {
         let awaits_ack = |side: &CallerSide| side.pending_release_cause.is_some();
--- a/src/sip/transaction.rs
+++ b/src/sip/transaction.rs
@@ -11,6 +11,7 @@
 use super::header::{self, Hop, Transport, Via};
 use super::message::Message;
 use crate::interface::{Secs, Time};
+use crate::limits::transactions::{Admission, FinishNumber, RequestKind, TransactionBudget};
 
 /// Round-trip time estimate in seconds, the base of all timers (RFC 3261, section 17.1.1.1).
 pub const T1: Secs = 0.5;
@@ -20,8 +21,7 @@
 pub const T4: Secs = 5.0;
 /// Duration in seconds of timers B, D, F, H, J, L and M (RFC 3261, appendix A, and RFC 6026).
 pub const TRANSACTION_TIMEOUT: Secs = 64.0 * T1;
-/// Maximum number of transactions. At this limit a new request is answered with 503 and creates no
-/// transaction.
+/// Maximum number of server transactions; [`TransactionBudget`] decides what happens at it.
 pub const MAX_TRANSACTIONS: usize = 20_000;
 
 /// The identifier of a transaction (RFC 3261, sections 17.1.3 and 17.2.3). An ACK has the key of its INVITE.
@@ -88,6 +88,10 @@
 
 #[derive(Debug)]
 struct ServerTransaction {
+    /// The sender of the request.
+    source: Hop,
+    /// Its number among the finished ones, once it may be forgotten.
+    finished: Option<FinishNumber>,
     hop: Hop,
     fallback: Option<Hop>,
     state: State,
@@ -116,8 +120,9 @@
 }
 
 /// The transactions of one agent.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TransactionLayer {
+    budget: TransactionBudget,
     servers: BTreeMap<TransactionKey, ServerTransaction>,
     clients: BTreeMap<TransactionKey, ClientTransaction>,
 }
@@ -165,7 +170,19 @@
     Some((hop, (source.transport == Transport::Tcp).then_some(sent_by_hop)))
 }
 
+impl Default for TransactionLayer {
+    fn default() -> Self {
+        TransactionLayer::with_limit(MAX_TRANSACTIONS)
+    }
+}
+
 impl TransactionLayer {
+    /// Creates a layer that keeps at most `limit` server transactions, and those that established calls owe.
+    pub fn with_limit(limit: usize) -> Self {
+        let budget = TransactionBudget::new(limit);
+        TransactionLayer { budget, servers: BTreeMap::new(), clients: BTreeMap::new() }
+    }
+
     /// Returns the number of transactions.
     pub fn len(&self) -> usize {
         self.servers.len() + self.clients.len()
@@ -176,11 +193,12 @@
         self.len() == 0
     }
 
-    /// Handles a received message.
+    /// Handles a received message. A request of the kind [`RequestKind::Owed`] is never refused for want of room.
     pub fn receive(
         &mut self,
         now: Time,
         source: Hop,
+        kind: RequestKind,
         mut message: Message,
         out: &mut Vec<TransactionOutput>,
     ) {
@@ -197,7 +215,11 @@
             return;
         };
         let is_ack = message.method() == Some("ACK");
-        let at_capacity = self.len() >= MAX_TRANSACTIONS;
+        if !is_ack && !self.servers.contains_key(&key) && !self.make_room(source, kind) {
+            let refusal = Message::response(503, "Service Unavailable", &message.headers);
+            out.push(TransactionOutput::Send(hop, fallback, refusal));
+            return;
+        }
         match self.servers.get_mut(&key) {
             Some(server) if is_ack => {
                 if server.state == State::Completed {
@@ -224,16 +246,11 @@
                     );
                 }
             }
-            None if at_capacity => {
-                out.push(TransactionOutput::Send(
-                    hop,
-                    fallback,
-                    Message::response(503, "Service Unavailable", &message.headers),
-                ));
-            }
             None => {
                 let (last_response, state) = (None, State::Proceeding);
                 let server = ServerTransaction {
+                    source,
+                    finished: None,
                     hop,
                     fallback,
                     state,
@@ -242,6 +259,7 @@
                     retransmit_at: None,
                     terminate_at: None,
                 };
+                self.budget.started(source);
                 self.servers.insert(key.clone(), server);
                 if key.method == "INVITE" {
                     let trying = Message::response(100, "Trying", &message.headers);
@@ -252,6 +270,32 @@
         }
     }
 
+    /// Makes room for a transaction of a source; returns false if it is refused.
+    fn make_room(&mut self, source: Hop, kind: RequestKind) -> bool {
+        match self.budget.admit(source, kind) {
+            Admission::Admitted => true,
+            Admission::AfterForgetting(key) => {
+                self.remove_server(&key);
+                true
+            }
+            Admission::Refused => false,
+        }
+    }
+
+    fn remove_server(&mut self, key: &TransactionKey) {
+        if let Some(server) = self.servers.remove(key) {
+            self.budget.ended(server.source, server.finished);
+        }
+    }
+
+    /// Whether there is a server transaction for the INVITE that a CANCEL refers to.
+    pub fn is_cancel_of_known_invite(&self, request: &Message) -> bool {
+        let key = (request.method() == Some("CANCEL")).then(|| server_key(request)).flatten();
+        key.is_some_and(|key| {
+            self.servers.contains_key(&TransactionKey { method: "INVITE".to_owned(), ..key })
+        })
+    }
+
     /// Whether a server transaction has not sent its final response.
     pub fn awaits_final_response(&self, key: &TransactionKey) -> bool {
         self.servers.get(key).is_some_and(|s| s.state == State::Proceeding)
@@ -295,6 +339,7 @@
             return;
         }
         server.state = State::Completed;
+        server.finished = Some(self.budget.finished(server.source, key.clone()));
         if key.method == "INVITE" && server.hop.transport == Transport::Udp {
             let at = now + server.retransmit_interval;
             server.retransmit_at = Some(at);
@@ -412,7 +457,7 @@
             TransactionTimer::Server(key) => {
                 let Some(server) = self.servers.get_mut(&key) else { return };
                 if is_due(server.terminate_at, now) {
-                    self.servers.remove(&key);
+                    self.remove_server(&key);
                 } else if is_due(server.retransmit_at, now) {
                     out.extend(server.last_response.clone().map(|last_response| {
                         TransactionOutput::Send(server.hop, server.fallback, last_response)
--- /dev/null
+++ b/tests/sip_flood.rs
@@ -0,0 +1,89 @@
+//! Clients that flood the SIP front, and the usual calls beside them: what an established call is owed arrives in time
+//! (review, case 3).
+
+mod standin;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use mallowring::sip::header::Transport;
+use mallowring::sip::message::{Framer, Message};
+use mallowring::sip::transaction::MAX_TRANSACTIONS;
+use standin::{Caller, Exchange, Proxy};
+
+/// Limit from an exchange's release to the caller's, with the tolerance of the page (PROTOCOL, 'The rules on sockets').
+const RELEASE_LIMIT: Duration = Duration::from_millis(1050);
+/// Number of requests that a client sends at once.
+const AT_ONCE: usize = 300;
+
+/// A request that is turned away: its class does not exist.
+fn request_in_vain(local: SocketAddr, transport: Transport, number: usize) -> Message {
+    Message::request("INVITE", "sip:50210009@127.0.0.1")
+        .with("Via", format!("SIP/2.0/{} {local};rport;branch=z9hG4bKvain{number}", transport.name()))
+        .with("Max-Forwards", 70)
+        .with("From", format!("<sip:vain@{local}>;tag=vain{number}"))
+        .with("To", "<sip:50210009@127.0.0.1>")
+        .with("Call-ID", format!("vain{number}"))
+        .with("CSeq", "1 INVITE")
+        .with("Contact", format!("<sip:vain@{local}>"))
+        .with("X-Tier", "no-such-class")
+}
+
+/// Sends `count` requests in vain over TCP, hundreds at once, and the next ones as soon as all are turned away.
+fn flood_over_tcp(proxy: SocketAddr, count: usize) {
+    let mut stream = TcpStream::connect(proxy).expect("the proxy accepts");
+    let local = stream.local_addr().expect("it is connected");
+    let mut reading = stream.try_clone().expect("a descriptor");
+    let mut framer = Framer::default();
+    let mut bytes = [0; 16 * 1024];
+    for first in (0..count).step_by(AT_ONCE) {
+        let requests =
+            (first..first + AT_ONCE).flat_map(|n| request_in_vain(local, Transport::Tcp, n).to_bytes());
+        let requests: Vec<u8> = requests.collect();
+        let mut writing = stream.try_clone().expect("a descriptor");
+        let writer = thread::spawn(move || writing.write_all(&requests));
+        let mut answered = 0;
+        while answered < AT_ONCE {
+            while let Some(message) = framer.next_message().expect("framing") {
+                answered += usize::from(message.expect("a SIP message").status() >= Some(200));
+            }
+            if answered < AT_ONCE {
+                let n = reading.read(&mut bytes).expect("the connection is open");
+                framer.push(&bytes[..n]);
+            }
+        }
+        writer.join().expect("no panic").expect("the connection is open");
+    }
+    stream.flush().expect("the connection is open");
+}
+
+/// A call that is established over a transport on both sides.
+fn establish(proxy: &Proxy, number: &str, transport: Transport) -> Caller {
+    let mut caller = Caller::new(proxy.addr, transport);
+    caller.send(&caller.invite(number, 5000, b"offer"));
+    let success = caller.final_response("INVITE");
+    assert_eq!(success.status(), Some(200), "{number}");
+    caller.send(&caller.in_dialog(&success, "ACK"));
+    caller
+}
+
+/// Releases the call at the exchange; its caller has to hear of it in time.
+fn assert_released_in_time(exchange: &Exchange, number: &str, caller: &mut Caller) {
+    let sent_at = Instant::now();
+    exchange.release(number);
+    let bye = caller.request("BYE");
+    assert!(sent_at.elapsed() <= RELEASE_LIMIT, "{:?}", sent_at.elapsed());
+    caller.send(&Message::response(200, "OK", &bye.headers));
+}
+
+/// Guards against a release that is answered 503 because one client's requests in vain hold all transactions for 32 s.
+#[test]
+fn a_release_arrives_after_more_requests_in_vain_than_there_are_transactions() {
+    let exchange = Exchange::start();
+    let proxy = Proxy::start(&exchange.entry(1, "answer", Transport::Tcp), "");
+    let mut caller = establish(&proxy, "answer", Transport::Tcp);
+    flood_over_tcp(proxy.addr, MAX_TRANSACTIONS + AT_ONCE);
+    assert_released_in_time(&exchange, "answer", &mut caller);
+}
--- a/tests/sip_transactions.rs
+++ b/tests/sip_transactions.rs
@@ -1,6 +1,7 @@
 //! The SIP transaction layer on a simulated clock, with the same sequences over UDP and TCP.
 
 use mallowring::interface::Time;
+use mallowring::limits::transactions::RequestKind;
 use mallowring::sip::header::{Hop, Transport};
 use mallowring::sip::message::Message;
 use mallowring::sip::transaction::{
@@ -68,7 +69,7 @@
 
     fn receive(&mut self, from: Hop, message: &Message) -> Vec<TransactionOutput> {
         let message = message.clone();
-        self.run(|layer, now, out| layer.receive(now, from, message, out))
+        self.run(|layer, now, out| layer.receive(now, from, RequestKind::New, message, out))
     }
 
     fn respond(&mut self, key: &TransactionKey, status: u16, to: &Message) -> Vec<TransactionOutput> {
