Each source of messages has a few in a mailbox at a time, and senders of datagrams take turns

Cause: readers waited while 64 messages were in a mailbox, whoever's they were, and the fastest took each free place; the datagram receiver and the SIP listener never waited for anything, so that a flood kept every other task from running, and its datagrams filled the front's mailbox without limit.

--- a/src/limits/memory.rs
+++ b/src/limits/memory.rs
@@ -19,6 +19,8 @@
     pub queues: usize,
     /// Releases that wait until a caller connects.
     pub releases: usize,
+    /// Received datagrams that wait to be handled.
+    pub datagrams: usize,
 }
 
 impl MemoryPlan {
@@ -26,7 +28,7 @@
     /// kept free.
     pub fn new(limit_mb: usize) -> Self {
         let free = (limit_mb * 1024 * 1024).saturating_sub(BASE_BYTES).max(4 * 1024 * 1024);
-        MemoryPlan { calls: free / 4, queues: free / 4, releases: free / 16 }
+        MemoryPlan { calls: free / 4, queues: free / 4, releases: free / 16, datagrams: free / 32 }
     }
 }
 
@@ -110,7 +112,7 @@
     fn the_shares_leave_a_quarter_free_at_every_limit() {
         for limit_mb in [16, 32, 48, 192, 4096] {
             let plan = MemoryPlan::new(limit_mb);
-            let parts = plan.calls + plan.queues + plan.releases;
+            let parts = plan.calls + plan.queues + plan.releases + plan.datagrams;
             assert!(
                 parts <= (limit_mb * 1024 * 1024).saturating_sub(BASE_BYTES).max(4 * 1024 * 1024) * 3 / 4
             );
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -2,6 +2,7 @@
 //! when a share is used up. No I/O: limits and decisions are plain values.
 
 pub mod connections;
+pub mod datagrams;
 pub mod descriptors;
 pub mod memory;
 pub mod transactions;
--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -17,7 +17,8 @@
 use smol::net::TcpStream;
 use smol::{future, Async};
 
-use super::{post_throttled, with_timeout, Executor};
+use super::turns::{Turn, Turns};
+use super::{with_timeout, Executor};
 use crate::limits::memory::{connection_to_cut, OutboundQueue};
 use crate::sip::message::{Framer, FramingError, MalformedMessage, Message};
 use crate::telemetry;
@@ -26,14 +27,16 @@
 const MAX_QUEUED_BYTES: usize = 64 * 1024;
 /// Time limit of one write. A connection whose peer reads too little for so long is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Messages of one connection that wait for its owner. Further ones stay in the socket.
+const MAX_UNHANDLED_MESSAGES: usize = 4;
 /// Bytes read per system call.
 const READ_CHUNK_BYTES: usize = 4096;
 
 /// What a connection reports to its owner.
 #[derive(Debug)]
 pub enum ConnectionEvent {
-    /// A message was received, or one that could not be parsed.
-    Message(Result<Message, MalformedMessage>),
+    /// A message was received, or one that could not be parsed. The turn is kept until it is handled.
+    Message(Result<Message, MalformedMessage>, Turn),
     /// The connection has ended; this is its last event.
     Ended(CloseReason),
 }
@@ -265,6 +268,7 @@
 ) {
     let stream: Arc<Async<std::net::TcpStream>> = stream.into();
     let mut framer = Framer::default();
+    let turns = Turns::new(MAX_UNHANDLED_MESSAGES);
     let mut message_started = None;
     let close_reason = 'reading: loop {
         let reading = stream.read_with(|socket| read_some(socket, &mut framer));
@@ -288,7 +292,8 @@
             match framer.next_message() {
                 Ok(Some(message)) => {
                     message_started = None;
-                    if !post_throttled(&mailbox, wrap(ConnectionEvent::Message(message))).await {
+                    let event = ConnectionEvent::Message(message, turns.next().await);
+                    if mailbox.send(wrap(event)).await.is_err() {
                         return;
                     }
                     // Lets other actors run when a peer sends many messages at once.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod roster;
 pub mod sip;
 pub mod supervision;
+pub mod turns;
 
 use std::future::Future;
 use std::io;
@@ -35,21 +36,6 @@
 use permits::Permits;
 pub use supervision::Executor;
 
-/// Number of queued messages from which [`post_throttled`] makes the sender wait. Mailboxes are otherwise unbounded:
-/// they use memory only for the messages they hold, and no message that has to be delivered is lost to a full
-/// mailbox.
-const BACKPRESSURE_THRESHOLD: usize = 64;
-/// Interval at which a waiting sender looks at the mailbox length again.
-const BACKPRESSURE_POLL_INTERVAL: Duration = Duration::from_millis(2);
-
-/// Sends network input to a mailbox once its backlog is short enough. Returns false if the actor has ended.
-pub(crate) async fn post_throttled<M>(mailbox: &Sender<M>, message: M) -> bool {
-    while mailbox.len() >= BACKPRESSURE_THRESHOLD {
-        Timer::after(BACKPRESSURE_POLL_INTERVAL).await;
-    }
-    mailbox.send(message).await.is_ok()
-}
-
 /// Sends to an actor that runs as long as the program, so that a failure can be ignored.
 pub(crate) async fn post<M>(mailbox: &Sender<M>, message: M) {
     let _ = mailbox.send(message).await;
@@ -194,6 +180,7 @@
                 send_queues: send_queues.clone(),
                 connect_timeout: config.connect_timeout,
                 max_connections: config.max_descriptors / 3,
+                max_datagram_bytes: memory.datagrams,
             };
             tasks.spawn("SIP front", sip.run(setup, udp, tcp, messages));
             sip_front = Some(mailbox);
--- a/src/net/peer/mod.rs
+++ b/src/net/peer/mod.rs
@@ -214,7 +214,7 @@
             {
                 self.handle_connection_event(connection_id, event).await
             }
-            PeerActorMessage::Connection(connection_id, ConnectionEvent::Message(Ok(message)))
+            PeerActorMessage::Connection(connection_id, ConnectionEvent::Message(Ok(message), _turn))
                 if self.retired.contains_key(&connection_id) =>
             {
                 self.handle_sip_message(connection_id, message).await;
@@ -286,12 +286,12 @@
 
     async fn handle_connection_event(&mut self, connection_id: u64, event: ConnectionEvent) {
         match event {
-            ConnectionEvent::Message(Ok(message)) => {
+            ConnectionEvent::Message(Ok(message), _turn) => {
                 self.record_activity(connection_id, &message);
                 self.handle_sip_message(connection_id, message).await;
             }
             // After a malformed message the rest of the stream can't be trusted.
-            ConnectionEvent::Message(Err(error)) => {
+            ConnectionEvent::Message(Err(error), _turn) => {
                 self.connection_lost(connection_id, error.to_string(), true, CloseKind::Other).await
             }
             ConnectionEvent::Ended(close_reason) => {
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -13,7 +13,8 @@
 use super::conn::{CloseReason, ConnectionEvent, ConnectionHandle, SendQueues};
 use super::engine::EngineMessage;
 use super::permits::Permits;
-use super::{post, post_throttled, Executor};
+use super::turns::{Turn, Turns};
+use super::{post, Executor};
 use crate::calls::{CallEvent, CallerCommand, Front, RejectReason, Request};
 use crate::interface::*;
 use crate::limits::memory::WaitingReleases;
@@ -29,6 +30,8 @@
 const COOL_DOWN_MS: u32 = 1000;
 /// Connections accepted beyond the limit, so that their set-ups can be refused with a response.
 const MAX_REFUSED_CONNECTIONS: usize = 8;
+/// Accepted connections that wait for the front. Further ones stay in the backlog of the listener.
+pub(super) const MAX_UNHANDLED_CONNECTIONS: usize = 8;
 /// Pause after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Interval in seconds between two checks of the connections.
@@ -40,8 +43,8 @@
 /// Messages to the platform front.
 #[derive(Debug)]
 pub enum PlatformMessage {
-    /// A caller has connected.
-    Accepted(TcpStream),
+    /// A caller has connected. The turn is kept until it is handled.
+    Accepted(TcpStream, Turn),
     /// An event of a connection, given by its id.
     Connection(u64, ConnectionEvent),
     /// A command of the call table to a caller.
@@ -147,6 +150,7 @@
 
 /// Accepts callers until `stop` is signalled. Callers that have connected by then are still handed over.
 pub async fn accept(listener: TcpListener, stop: Receiver<()>, mailbox: Sender<PlatformMessage>) {
+    let turns = Turns::new(MAX_UNHANDLED_CONNECTIONS);
     loop {
         let stopped = async {
             // A closed channel means that no stop will come.
@@ -157,7 +161,9 @@
         };
         let accepted = async { Some(listener.accept().await) };
         match future::or(stopped, accepted).await {
-            Some(Ok((stream, _))) => drop(post_throttled(&mailbox, PlatformMessage::Accepted(stream)).await),
+            Some(Ok((stream, _))) => {
+                post(&mailbox, PlatformMessage::Accepted(stream, turns.next().await)).await;
+            }
             Some(Err(error)) => {
                 telemetry::accept_failed();
                 tracing::warn!(%error, "accepting a connection failed: closing an idle one");
@@ -168,7 +174,7 @@
         }
     }
     while let Some(Ok((stream, _))) = future::poll_once(listener.accept()).await {
-        post(&mailbox, PlatformMessage::Accepted(stream)).await;
+        post(&mailbox, PlatformMessage::Accepted(stream, turns.next().await)).await;
     }
     drop(listener);
     post(&mailbox, PlatformMessage::ListenerClosed).await;
@@ -194,14 +200,14 @@
         state.check_connections().await;
         while let Ok(message) = messages.recv().await {
             match message {
-                PlatformMessage::Accepted(stream) => state.accepted(stream).await,
+                PlatformMessage::Accepted(stream, _turn) => state.accepted(stream).await,
                 // Events that arrive after a connection was closed are ignored.
                 PlatformMessage::Connection(connection_id, _)
                     if !state.caller_connections.contains_key(&connection_id) => {}
-                PlatformMessage::Connection(connection_id, ConnectionEvent::Message(Ok(message))) => {
+                PlatformMessage::Connection(connection_id, ConnectionEvent::Message(Ok(message), _turn)) => {
                     state.handle_message(connection_id, message).await
                 }
-                PlatformMessage::Connection(connection_id, ConnectionEvent::Message(Err(fault))) => {
+                PlatformMessage::Connection(connection_id, ConnectionEvent::Message(Err(fault), _turn)) => {
                     tracing::warn!(%fault, "malformed message from a caller");
                     let has_call_id = header(&fault.headers, "Call-ID").is_some_and(|id| !id.is_empty());
                     if has_call_id && !fault.is_response {
--- a/src/net/sip.rs
+++ b/src/net/sip.rs
@@ -1,6 +1,7 @@
 //! The SIP front: a UDP socket, TCP connections in both directions, and the SIP agent that handles the messages of
 //! both transports.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -8,14 +9,17 @@
 
 use smol::channel::{bounded, Receiver, Sender};
 use smol::net::{TcpListener, TcpStream, UdpSocket};
-use smol::Timer;
+use smol::{future, Timer};
 
 use super::clock::{Clock, TimerKind, TimerSender};
 use super::conn::{CloseReason, ConnectionEvent, ConnectionHandle, SendQueues};
 use super::engine::EngineMessage;
+use super::platform::MAX_UNHANDLED_CONNECTIONS;
+use super::turns::{Turn, Turns};
 use super::{post, with_timeout, Executor};
 use crate::calls::{CallerCommand, ExchangeCommand};
 use crate::interface::*;
+use crate::limits::datagrams::DatagramQueue;
 use crate::sip::agent::{Agent, AgentConfig, AgentOutput, AgentTimer};
 use crate::sip::header::{Hop, Transport};
 use crate::sip::message::{header, Message, MAX_MESSAGE_BYTES};
@@ -34,10 +38,10 @@
     ToCaller(CallId, CallerCommand),
     /// A command of the call table to an exchange.
     ToExchange(ExchangeId, CallId, ExchangeCommand),
-    /// A datagram was received.
-    Datagram(SocketAddr, Vec<u8>),
-    /// A connection was accepted.
-    Accepted(TcpStream, SocketAddr),
+    /// Datagrams wait in the queue.
+    DatagramsWaiting,
+    /// A connection was accepted. The turn is kept until it is handled.
+    Accepted(TcpStream, SocketAddr, Turn),
     /// An attempt to connect has succeeded or failed.
     Connected(SocketAddr, std::io::Result<TcpStream>),
     /// An event of a connection, given by its remote address and its id.
@@ -66,11 +70,15 @@
     pub connect_timeout: Secs,
     /// Limit of connections.
     pub max_connections: usize,
+    /// Limit in bytes of the received datagrams that wait to be handled.
+    pub max_datagram_bytes: usize,
 }
 
 struct State {
     front: SipFront,
     agent: Agent,
+    /// The received datagrams that wait to be handled.
+    received: Rc<RefCell<DatagramQueue>>,
     datagrams: Sender<(SocketAddr, Vec<u8>)>,
     connections: BTreeMap<SocketAddr, (u64, ConnectionHandle)>,
     connecting: BTreeMap<SocketAddr, VecDeque<Message>>,
@@ -90,11 +98,13 @@
     ) {
         let (datagrams, datagram_queue) = bounded(MAX_WAITING_MESSAGES);
         self.tasks.spawn("datagram sender", send(udp.clone(), datagram_queue));
-        self.tasks.spawn("datagram receiver", receive(udp, self.mailbox.clone()));
+        let received = Rc::new(RefCell::new(DatagramQueue::new(self.max_datagram_bytes)));
+        self.tasks.spawn("datagram receiver", receive(udp, received.clone(), self.mailbox.clone()));
         self.tasks.spawn("SIP listener", accept(tcp, self.mailbox.clone()));
         let mut state = State {
             front: self,
             agent: Agent::new(setup),
+            received,
             datagrams,
             connections: BTreeMap::new(),
             connecting: BTreeMap::new(),
@@ -119,21 +129,33 @@
     }
 }
 
-async fn receive(udp: UdpSocket, mailbox: Sender<SipFrontMessage>) {
+async fn receive(udp: UdpSocket, queue: Rc<RefCell<DatagramQueue>>, mailbox: Sender<SipFrontMessage>) {
     let mut bytes = vec![0; MAX_MESSAGE_BYTES + 1];
     loop {
         match udp.recv_from(&mut bytes).await {
-            Ok((n, addr)) => post(&mailbox, SipFrontMessage::Datagram(addr, bytes[..n].to_vec())).await,
+            Ok((n, addr)) => {
+                let was_empty = queue.borrow().is_empty();
+                let dropped = queue.borrow_mut().push(addr, bytes[..n].to_vec());
+                telemetry::received_datagrams_dropped(dropped);
+                if was_empty {
+                    post(&mailbox, SipFrontMessage::DatagramsWaiting).await;
+                }
+            }
             // An earlier datagram met a closed port. Its transaction retransmits it or times out.
             Err(error) => tracing::debug!(%error, "receiving a datagram failed"),
         }
+        // While datagrams arrive faster than they are handled, receiving one never waits.
+        future::yield_now().await;
     }
 }
 
 async fn accept(tcp: TcpListener, mailbox: Sender<SipFrontMessage>) {
+    let turns = Turns::new(MAX_UNHANDLED_CONNECTIONS);
     loop {
         match tcp.accept().await {
-            Ok((stream, addr)) => post(&mailbox, SipFrontMessage::Accepted(stream, addr)).await,
+            Ok((stream, addr)) => {
+                post(&mailbox, SipFrontMessage::Accepted(stream, addr, turns.next().await)).await;
+            }
             Err(error) => {
                 tracing::error!(%error, "accepting a connection failed");
                 Timer::after(Duration::from_millis(20)).await;
@@ -160,8 +182,8 @@
                 // The engine may have ended by the time limit of the releases.
                 let _ = self.front.engine.try_send(EngineMessage::SipReleases { pending });
             }
-            SipFrontMessage::Datagram(addr, bytes) => self.datagram(now, addr, &bytes, outputs),
-            SipFrontMessage::Accepted(stream, addr) => {
+            SipFrontMessage::DatagramsWaiting => self.handle_datagram(now, outputs),
+            SipFrontMessage::Accepted(stream, addr, _turn) => {
                 if self.connections.len() >= self.front.max_connections {
                     tracing::warn!(
                         most = self.front.max_connections,
@@ -191,6 +213,16 @@
         }
     }
 
+    /// Handles one datagram. The others wait for the messages that are in the mailbox.
+    fn handle_datagram(&mut self, now: Time, outputs: &mut Vec<AgentOutput>) {
+        let Some((addr, bytes)) = self.received.borrow_mut().pop() else { return };
+        if !self.received.borrow().is_empty() {
+            // The mailbox is open as long as this front holds a sender of it.
+            let _ = self.front.mailbox.try_send(SipFrontMessage::DatagramsWaiting);
+        }
+        self.datagram(now, addr, &bytes, outputs);
+    }
+
     fn datagram(&mut self, now: Time, addr: SocketAddr, bytes: &[u8], outputs: &mut Vec<AgentOutput>) {
         if bytes.iter().all(|b| matches!(b, b'\r' | b'\n' | 0)) {
             return; // A keep-alive for a NAT.
@@ -239,8 +271,10 @@
         outputs: &mut Vec<AgentOutput>,
     ) {
         match event {
-            ConnectionEvent::Message(Ok(message)) => self.agent.receive(now, tcp(addr), message, outputs),
-            ConnectionEvent::Message(Err(fault)) => {
+            ConnectionEvent::Message(Ok(message), _turn) => {
+                self.agent.receive(now, tcp(addr), message, outputs)
+            }
+            ConnectionEvent::Message(Err(fault), _turn) => {
                 tracing::warn!(%addr, %fault, "malformed SIP message");
                 let has_call_id = header(&fault.headers, "Call-ID").is_some_and(|id| !id.is_empty());
                 if has_call_id && !fault.is_response {
--- a/src/telemetry.rs
+++ b/src/telemetry.rs
@@ -47,6 +47,8 @@
 const ACCEPTS_FAILED: &str = "mallowring_accepts_failed_total";
 /// Datagrams dropped because too many were waiting to be sent.
 const DATAGRAMS_DROPPED: &str = "mallowring_datagrams_dropped_total";
+/// Received datagrams dropped because too many were waiting to be handled.
+const RECEIVED_DATAGRAMS_DROPPED: &str = "mallowring_received_datagrams_dropped_total";
 /// File descriptors in use, by part.
 const DESCRIPTORS: &str = "mallowring_descriptors";
 /// Bytes of memory in use, by part.
@@ -211,6 +213,13 @@
     metrics::counter!(DATAGRAMS_DROPPED).increment(1);
 }
 
+/// Counts received datagrams that were dropped because too many of their sender, or in all, waited to be handled.
+pub fn received_datagrams_dropped(datagrams: usize) {
+    if datagrams > 0 {
+        metrics::counter!(RECEIVED_DATAGRAMS_DROPPED).increment(datagrams as u64);
+    }
+}
+
 /// Sets the gauges of descriptors in use, by callers and exchanges, and of bytes in send queues and waiting releases.
 pub fn set_resource_usage(callers: usize, exchanges: usize, queued_bytes: usize, release_bytes: usize) {
     metrics::gauge!(DESCRIPTORS, "part" => "callers").set(callers as f64);
--- a/tests/sip_flood.rs
+++ b/tests/sip_flood.rs
@@ -1,11 +1,13 @@
-//! Clients that flood the SIP front, and the usual calls beside them: what an established call is owed arrives in time
-//! (review, case 3).
+//! Clients that flood the SIP front, and the usual calls beside them: what an established call is owed arrives in time, and
+//! new calls of others are still set up (review, case 3).
 
 mod standin;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::thread;
+use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
 
 use mallowring::sip::header::Transport;
@@ -87,3 +89,90 @@
     flood_over_tcp(proxy.addr, MAX_TRANSACTIONS + AT_ONCE);
     assert_released_in_time(&exchange, "answer", &mut caller);
 }
+
+/// Clients that flood the proxy at full speed until they are dropped, and read nothing but what they have to.
+struct Flood {
+    stop: Arc<AtomicBool>,
+    clients: Vec<JoinHandle<()>>,
+}
+
+impl Flood {
+    fn start(clients: usize, client: impl Fn(usize, &AtomicBool) + Send + Sync + Clone + 'static) -> Flood {
+        let stop = Arc::new(AtomicBool::new(false));
+        let start = |number| {
+            let (stop, client) = (stop.clone(), client.clone());
+            thread::spawn(move || client(number, &stop))
+        };
+        Flood { clients: (0..clients).map(start).collect(), stop: stop.clone() }
+    }
+}
+
+impl Drop for Flood {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for client in self.clients.drain(..) {
+            let _ = client.join();
+        }
+    }
+}
+
+fn options(local: SocketAddr, transport: Transport, number: usize) -> Message {
+    Message::request("OPTIONS", "sip:ping@127.0.0.1")
+        .with("Via", format!("SIP/2.0/{} {local};rport;branch=z9hG4bKping{number}", transport.name()))
+        .with("From", format!("<sip:ping@{local}>;tag=ping{number}"))
+        .with("To", "<sip:ping@127.0.0.1>")
+        .with("Call-ID", format!("ping{number}-{local}"))
+        .with("CSeq", "1 OPTIONS")
+}
+
+/// Sends requests over TCP as fast as the proxy reads them; another thread reads the responses.
+fn options_over_tcp(proxy: SocketAddr, stop: &AtomicBool) {
+    let Ok(mut stream) = TcpStream::connect(proxy) else { return };
+    let local = stream.local_addr().expect("it is connected");
+    let mut reading = stream.try_clone().expect("a descriptor");
+    let reader = thread::spawn(move || while reading.read(&mut [0; 64 * 1024]).is_ok_and(|n| n > 0) {});
+    let mut number = 0;
+    while !stop.load(Ordering::Relaxed) {
+        let requests = (number..number + 50).flat_map(|n| options(local, Transport::Tcp, n).to_bytes());
+        number += 50;
+        if stream.write_all(&requests.collect::<Vec<u8>>()).is_err() {
+            break;
+        }
+    }
+    let _ = stream.shutdown(std::net::Shutdown::Both);
+    let _ = reader.join();
+}
+
+fn options_over_udp(proxy: SocketAddr, stop: &AtomicBool) {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    let local = socket.local_addr().expect("it is bound");
+    let mut number = 0;
+    while !stop.load(Ordering::Relaxed) {
+        number += 1;
+        let _ = socket.send_to(&options(local, Transport::Udp, number).to_bytes(), proxy);
+    }
+}
+
+/// Guards against releases and set-ups that wait behind the requests of others: several clients send at full speed.
+#[test]
+fn calls_are_set_up_and_released_in_time_beside_clients_at_full_speed() {
+    for flooded in [Transport::Tcp, Transport::Udp] {
+        let exchange = Exchange::start();
+        let entries = exchange.entry(1, "answer-first", Transport::Tcp)
+            + &exchange.entry(2, "answer-tcp", Transport::Tcp);
+        let proxy = Proxy::start(&entries, "");
+        let mut first = establish(&proxy, "answer-first", Transport::Tcp);
+        let addr = proxy.addr;
+        let flood = Flood::start(4, move |_, stop| match flooded {
+            Transport::Tcp => options_over_tcp(addr, stop),
+            Transport::Udp => options_over_udp(addr, stop),
+        });
+        thread::sleep(Duration::from_millis(500));
+        let start = Instant::now();
+        let mut second = establish(&proxy, "answer-tcp", Transport::Tcp);
+        assert!(start.elapsed() < Duration::from_secs(2), "{flooded:?}: {:?}", start.elapsed());
+        assert_released_in_time(&exchange, "answer-first", &mut first);
+        assert_released_in_time(&exchange, "answer-tcp", &mut second);
+        drop(flood);
+    }
+}
