A SIP connection that is least needed makes room for a new one

What callers saw: 341 connections of one client that says nothing kept every other SIP caller out, and an exchange could not connect to release its calls.

Cause: the SIP front closed each new connection at its limit, whatever the others were for, and closed no idle one. Its share of the descriptors was no part of their plan, so that both fronts together could pass the limit.

Change: at the limit the least needed connection is closed, by the rule of the platform front (limits/callers.rs, now the one place): without a valid message first, then without established calls, the longest idle first; never one with an open set-up. The plan of the descriptors has a share for SIP, an eighth of it for connections that the front opens itself; what a call owes is queued for such a connection without limit of number, as nothing sends it again over TCP.

--- a/src/limits/descriptors.rs
+++ b/src/limits/descriptors.rs
@@ -9,6 +9,12 @@
 /// Divisor of the limit that gives the connections of callers. The platform's protocol lets callers hold at most a
 /// third of the limit.
 const CALLERS_DIVISOR: usize = 3;
+/// The same for the SIP front if it is the only one, and beside the platform front.
+const SIP_DIVISOR_ALONE: usize = 3;
+const SIP_DIVISOR_BESIDE: usize = 6;
+/// Divisor of the SIP front's share that gives the connections which it opens itself, to exchanges and to callers whose
+/// connection is gone. Accepted connections leave them free.
+const SIP_OUTGOING_DIVISOR: usize = 8;
 /// Further connections from callers that are accepted only to answer their requests with a refusal.
 const CALLERS_TO_REFUSE: usize = 8;
 /// Maximum number of connections to the administration interfaces, if these are enabled.
@@ -16,13 +22,26 @@
 /// Minimum limit on descriptors with which a proxy can run.
 pub const MIN_DESCRIPTORS: usize = 128;
 
+/// The parts of the proxy that need descriptors.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Enabled {
+    /// The platform front.
+    pub platform: bool,
+    /// The SIP front.
+    pub sip: bool,
+    /// The administration.
+    pub administration: bool,
+}
+
 /// Number of descriptors for each use.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DescriptorPlan {
     /// The limit that the deployment sets.
     pub limit: usize,
-    /// Connections from callers.
+    /// Connections from callers to the platform front.
     pub callers: usize,
+    /// Connections of the SIP front in both directions.
+    pub sip: usize,
     /// Connections to exchanges.
     pub exchanges: usize,
     /// Connections to the administration.
@@ -32,14 +51,24 @@
 }
 
 impl DescriptorPlan {
-    /// Divides a limit. The administration gets a share only if it is enabled.
-    pub fn new(limit: usize, administration: bool) -> Self {
+    /// Divides a limit among the parts that are enabled.
+    pub fn new(limit: usize, Enabled { platform, sip, administration }: Enabled) -> Self {
         let reserve = (limit / RESERVE_DIVISOR).max(MIN_RESERVE);
         let administration =
             if administration { ADMINISTRATION_CONNECTIONS.min(limit / RESERVE_DIVISOR) } else { 0 };
-        let callers = limit / CALLERS_DIVISOR + CALLERS_TO_REFUSE;
-        let exchanges = limit.saturating_sub(reserve + administration + callers);
-        DescriptorPlan { limit, callers, exchanges, administration, reserve }
+        let callers = if platform { limit / CALLERS_DIVISOR + CALLERS_TO_REFUSE } else { 0 };
+        let sip = match (sip, platform) {
+            (false, _) => 0,
+            (true, false) => limit / SIP_DIVISOR_ALONE,
+            (true, true) => limit / SIP_DIVISOR_BESIDE,
+        };
+        let exchanges = limit.saturating_sub(reserve + administration + callers + sip);
+        DescriptorPlan { limit, callers, sip, exchanges, administration, reserve }
+    }
+
+    /// Most connections that the SIP front accepts.
+    pub fn sip_accepted(&self) -> usize {
+        self.sip - self.sip / SIP_OUTGOING_DIVISOR
     }
 }
 
@@ -50,13 +79,12 @@
     #[test]
     fn the_shares_never_exceed_the_limit_and_callers_get_a_third() {
         for limit in MIN_DESCRIPTORS..5000 {
-            for administration in [false, true] {
-                let plan = DescriptorPlan::new(limit, administration);
-                assert!(
-                    plan.callers + plan.exchanges + plan.administration + plan.reserve <= limit,
-                    "{plan:?}"
-                );
+            for (administration, sip) in [(false, false), (false, true), (true, false), (true, true)] {
+                let plan = DescriptorPlan::new(limit, Enabled { platform: true, sip, administration });
+                let fronts = plan.callers + plan.sip;
+                assert!(fronts + plan.exchanges + plan.administration + plan.reserve <= limit, "{plan:?}");
                 assert!(plan.callers >= limit / 3 && plan.exchanges >= 16, "{plan:?}");
+                assert!(!sip || plan.sip_accepted() >= 16, "{plan:?}");
             }
         }
     }
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -1,6 +1,7 @@
 //! Resource budgets: how the deployment's limits on descriptors and memory are divided, and what is closed or dropped
 //! when a share is used up. No I/O: limits and decisions are plain values.
 
+pub mod callers;
 pub mod connections;
 pub mod datagrams;
 pub mod descriptors;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -29,7 +29,7 @@
 use crate::calls::tenants::Tenants;
 use crate::calls::Table;
 use crate::config::Config;
-use crate::limits::descriptors::DescriptorPlan;
+use crate::limits::descriptors::{DescriptorPlan, Enabled};
 use crate::limits::memory::MemoryPlan;
 use crate::sip::agent::{AgentConfig, CallClass};
 use conn::SendQueues;
@@ -122,7 +122,12 @@
         let mut roster_sources = None;
         let (engine, engine_messages) = unbounded();
         let (timers, timer_requests) = unbounded();
-        let descriptors = DescriptorPlan::new(config.max_descriptors, config.admin.is_some());
+        let enabled = Enabled {
+            platform: config.platform.is_some(),
+            sip: config.sip.is_some(),
+            administration: config.admin.is_some(),
+        };
+        let descriptors = DescriptorPlan::new(config.max_descriptors, enabled);
         let memory = MemoryPlan::new(config.memory_mb);
         tracing::info!(?descriptors, ?memory, "budgets");
         let send_queues = SendQueues::new(memory.queues);
@@ -179,7 +184,7 @@
                 timers: timers.clone(),
                 send_queues: send_queues.clone(),
                 connect_timeout: config.connect_timeout,
-                max_connections: config.max_descriptors / 3,
+                max_accepted: descriptors.sip_accepted(),
                 max_datagram_bytes: memory.datagrams,
             };
             tasks.spawn("SIP front", sip.run(setup, udp, tcp, messages));
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -17,6 +17,7 @@
 use super::{post, Executor};
 use crate::calls::{CallEvent, CallerCommand, Front, RejectReason, Request};
 use crate::interface::*;
+use crate::limits::callers::{least_needed, IdleConnection};
 use crate::limits::memory::WaitingReleases;
 use crate::recovery::shutdown::{ConnectionUse, RemainingWork, Shutdown};
 use crate::sip::message::{header, Message, StartLine};
@@ -91,6 +92,14 @@
 }
 
 impl CallerConnection {
+    fn when_idle(&self) -> IdleConnection {
+        IdleConnection {
+            useful: self.useful,
+            carries_calls: self.established_calls > 0,
+            last_active: self.last_active,
+        }
+    }
+
     fn present_use(&self) -> ConnectionUse {
         ConnectionUse {
             open: self.open_set_ups,
@@ -276,14 +285,9 @@
 
     /// Closes the idle connection that is least needed; returns whether there was one.
     async fn make_room(&mut self) -> bool {
-        // Connections without a valid request go first, then those without established calls, each group from the
-        // longest idle on. A release may be sent on another connection, but callers mostly wait for it on this one.
         let idle = self.caller_connections.iter().filter(|(_, caller)| caller.open_set_ups == 0);
-        let rank = |caller: &CallerConnection| (caller.useful, caller.established_calls > 0);
-        let victim = idle.min_by(|(_, a), (_, b)| {
-            rank(a).cmp(&rank(b)).then_with(|| a.last_active.0.total_cmp(&b.last_active.0))
-        });
-        let Some(victim) = victim.map(|(connection_id, _)| *connection_id) else { return false };
+        let idle = idle.map(|(connection_id, caller)| (*connection_id, caller.when_idle()));
+        let Some(victim) = least_needed(idle) else { return false };
         tracing::debug!(
             most = self.front.max_connections,
             "connection limit reached: idle connection of a caller closed"
--- a/src/net/sip.rs
+++ b/src/net/sip.rs
@@ -19,6 +19,7 @@
 use super::{post, with_timeout, Executor};
 use crate::calls::{CallerCommand, ExchangeCommand};
 use crate::interface::*;
+use crate::limits::callers::{least_needed, IdleConnection};
 use crate::limits::datagrams::DatagramQueue;
 use crate::sip::agent::{Agent, AgentConfig, AgentOutput, AgentTimer};
 use crate::sip::header::{Hop, Transport};
@@ -48,6 +49,8 @@
     Connection(SocketAddr, u64, ConnectionEvent),
     /// A timer of the SIP agent has expired.
     TimerExpired(AgentTimer),
+    /// Close the connection, given by its remote address and its id, unless it has carried a valid message.
+    CheckUseful(SocketAddr, u64),
     /// Report to the engine whether releases are not delivered yet.
     CheckReleases,
 }
@@ -68,19 +71,29 @@
     pub send_queues: Rc<SendQueues>,
     /// Time limit in seconds for opening a connection.
     pub connect_timeout: Secs,
-    /// Limit of connections.
-    pub max_connections: usize,
+    /// Limit of connections beyond which none is accepted.
+    pub max_accepted: usize,
     /// Limit in bytes of the received datagrams that wait to be handled.
     pub max_datagram_bytes: usize,
 }
 
+/// An open connection.
+struct SipConnection {
+    id: u64,
+    handle: ConnectionHandle,
+    /// It has carried a valid message.
+    useful: bool,
+    /// When it last carried one; at first, when it was opened.
+    last_active: Time,
+}
+
 struct State {
     front: SipFront,
     agent: Agent,
     /// The received datagrams that wait to be handled.
     received: Rc<RefCell<DatagramQueue>>,
     datagrams: Sender<(SocketAddr, Vec<u8>)>,
-    connections: BTreeMap<SocketAddr, (u64, ConnectionHandle)>,
+    connections: BTreeMap<SocketAddr, SipConnection>,
     connecting: BTreeMap<SocketAddr, VecDeque<Message>>,
     next_connection_id: u64,
     /// Number of malformed datagrams received.
@@ -184,18 +197,26 @@
             }
             SipFrontMessage::DatagramsWaiting => self.handle_datagram(now, outputs),
             SipFrontMessage::Accepted(stream, addr, _turn) => {
-                if self.connections.len() >= self.front.max_connections {
+                if self.connections.len() >= self.front.max_accepted && !self.make_room(now, outputs) {
                     tracing::warn!(
-                        most = self.front.max_connections,
+                        most = self.front.max_accepted,
                         "too many SIP connections: new one closed"
                     );
                     return;
                 }
-                self.open(addr, stream);
+                let connection_id = self.open(now, addr, stream);
+                self.close_later_if_useless(addr, connection_id);
+            }
+            SipFrontMessage::CheckUseful(addr, connection_id) => {
+                let is_useless =
+                    |connection: &SipConnection| connection.id == connection_id && !connection.useful;
+                if self.connections.get(&addr).is_some_and(is_useless) {
+                    self.close(now, addr, outputs);
+                }
             }
             SipFrontMessage::Connected(addr, Ok(stream)) => {
                 let waiting = self.connecting.remove(&addr).unwrap_or_default();
-                self.open(addr, stream);
+                self.open(now, addr, stream);
                 for message in waiting {
                     self.write(addr, &message);
                 }
@@ -206,7 +227,7 @@
                 self.agent.on_connection_failed(now, tcp(addr), TransactionFailure::Unreachable, outputs);
             }
             SipFrontMessage::Connection(addr, connection_id, event) => {
-                if self.connections.get(&addr).is_some_and(|(current_id, _)| *current_id == connection_id) {
+                if self.connections.get(&addr).is_some_and(|connection| connection.id == connection_id) {
                     self.handle_connection_event(now, addr, event, outputs);
                 }
             }
@@ -243,12 +264,46 @@
         tracing::warn!(%addr, what, count = self.malformed, "malformed datagram dropped");
     }
 
-    fn open(&mut self, addr: SocketAddr, stream: TcpStream) {
+    /// Closes the connection that is least needed; returns whether there was one without an open set-up.
+    fn make_room(&mut self, now: Time, outputs: &mut Vec<AgentOutput>) -> bool {
+        let uses = self.agent.connection_uses();
+        let idle = self.connections.iter().filter_map(|(addr, connection)| {
+            let current = uses.get(addr).copied().unwrap_or_default();
+            let idle = IdleConnection {
+                useful: connection.useful,
+                carries_calls: current.established > 0,
+                last_active: connection.last_active,
+            };
+            (current.open == 0).then_some((*addr, idle))
+        });
+        let Some(victim) = least_needed(idle) else { return false };
+        tracing::debug!(addr = %victim, "connection limit reached: idle SIP connection closed");
+        telemetry::caller_connection_closed("made room");
+        self.close(now, victim, outputs);
+        true
+    }
+
+    fn close(&mut self, now: Time, addr: SocketAddr, outputs: &mut Vec<AgentOutput>) {
+        self.connections.remove(&addr);
+        self.agent.on_connection_failed(now, tcp(addr), TransactionFailure::ConnectionLost, outputs);
+    }
+
+    /// Schedules the check of an accepted connection.
+    fn close_later_if_useless(&self, addr: SocketAddr, connection_id: u64) {
+        let mailbox = self.front.mailbox.clone();
+        let check = async move {
+            Timer::after(MESSAGE_TIMEOUT).await;
+            post(&mailbox, SipFrontMessage::CheckUseful(addr, connection_id)).await;
+        };
+        self.front.tasks.spawn("check of a SIP connection", check);
+    }
+
+    fn open(&mut self, now: Time, addr: SocketAddr, stream: TcpStream) -> u64 {
         self.next_connection_id += 1;
         let connection_id = self.next_connection_id;
         let wrap = move |event| SipFrontMessage::Connection(addr, connection_id, event);
         let (tasks, send_queues) = (&self.front.tasks, &self.front.send_queues);
-        let connection = ConnectionHandle::open(
+        let handle = ConnectionHandle::open(
             tasks,
             send_queues,
             stream,
@@ -256,11 +311,13 @@
             MESSAGE_TIMEOUT,
             wrap,
         );
-        self.connections.insert(addr, (connection_id, connection));
+        let connection = SipConnection { id: connection_id, handle, useful: false, last_active: now };
+        self.connections.insert(addr, connection);
+        connection_id
     }
 
     fn write(&mut self, addr: SocketAddr, message: &Message) -> bool {
-        self.connections.get(&addr).is_some_and(|(_, connection)| connection.write(message))
+        self.connections.get(&addr).is_some_and(|connection| connection.handle.write(message))
     }
 
     fn handle_connection_event(
@@ -272,7 +329,10 @@
     ) {
         match event {
             ConnectionEvent::Message(Ok(message), _turn) => {
-                self.agent.receive(now, tcp(addr), message, outputs)
+                if let Some(connection) = self.connections.get_mut(&addr) {
+                    (connection.useful, connection.last_active) = (true, now);
+                }
+                self.agent.receive(now, tcp(addr), message, outputs);
             }
             ConnectionEvent::Message(Err(fault), _turn) => {
                 tracing::warn!(%addr, %fault, "malformed SIP message");
@@ -281,21 +341,14 @@
                     self.write(addr, &Message::response(400, "Bad Request", &fault.headers));
                 } else {
                     // No response is possible, so the connection is closed.
-                    self.connections.remove(&addr);
-                    self.agent.on_connection_failed(
-                        now,
-                        tcp(addr),
-                        TransactionFailure::ConnectionLost,
-                        outputs,
-                    );
+                    self.close(now, addr, outputs);
                 }
             }
             ConnectionEvent::Ended(reason) => {
                 if !matches!(reason, CloseReason::Closed) {
                     tracing::info!(%addr, over = ?reason, "SIP connection lost");
                 }
-                self.connections.remove(&addr);
-                self.agent.on_connection_failed(now, tcp(addr), TransactionFailure::ConnectionLost, outputs);
+                self.close(now, addr, outputs);
             }
         }
     }
@@ -333,7 +386,9 @@
         let addr = alt.filter(|_| message.status().is_some()).unwrap_or(hop.addr);
         let connecting = self.connecting.contains_key(&addr);
         let waiting = self.connecting.entry(addr).or_default();
-        if waiting.len() < MAX_WAITING_MESSAGES {
+        // What a call owes is limited by the number of calls, and nothing sends it again over TCP.
+        let is_owed = matches!(message.method(), Some("BYE" | "ACK" | "CANCEL"));
+        if is_owed || waiting.len() < MAX_WAITING_MESSAGES {
             waiting.push_back(message);
         }
         if connecting {
--- a/src/sip/agent.rs
+++ b/src/sip/agent.rs
@@ -3,6 +3,7 @@
 //! each side of a call may use UDP or TCP.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use super::dialog::{Dialog, DialogId};
@@ -65,7 +66,7 @@
 #[derive(Clone, Debug)]
 pub struct AgentConfig {
     /// The address at which the agent listens over UDP and TCP, used in its URIs and Via headers.
-    pub addr: std::net::SocketAddr,
+    pub addr: SocketAddr,
     /// The classes of call. A call without a class takes the first one, unless its priority is emergency.
     pub classes: Vec<CallClass>,
     /// The class of a call with `Priority: emergency` and no class of its own.
@@ -125,6 +126,15 @@
     ack: Option<Message>,
 }
 
+/// Numbers of calls in two states.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct CallCounts {
+    /// Set-ups without a final answer.
+    pub open: usize,
+    /// Established calls.
+    pub established: usize,
+}
+
 /// A call and the number of one of its attempts.
 type Attempt = (CallId, u32);
 
@@ -203,6 +213,24 @@
         self.transactions.awaits_response_to("BYE") || self.caller_sides.values().any(awaits_ack)
     }
 
+    /// Returns what the TCP connections are needed for at present, by their remote addresses.
+    pub fn connection_uses(&self) -> BTreeMap<SocketAddr, CallCounts> {
+        let mut uses: BTreeMap<SocketAddr, CallCounts> = BTreeMap::new();
+        let caller_sides = self.caller_sides.values().map(|side| (side.hop, side.success.is_some()));
+        let exchange_hop = |id| self.config.exchanges.iter().find(|e| e.id == id).map(|e| e.hop);
+        let exchange_sides = self.exchange_sides.values();
+        let exchange_sides =
+            exchange_sides.filter_map(|side| Some((exchange_hop(side.exchange)?, side.dialog.is_some())));
+        for (hop, is_established) in caller_sides.chain(exchange_sides) {
+            if hop.transport == Transport::Tcp {
+                let counts = uses.entry(hop.addr).or_default();
+                counts.open += usize::from(!is_established);
+                counts.established += usize::from(is_established);
+            }
+        }
+        uses
+    }
+
     /// Handles an expired timer.
     pub fn on_timer(&mut self, now: Time, timer: AgentTimer, out: &mut Vec<AgentOutput>) {
         match timer {
--- a/tests/sip_flood.rs
+++ b/tests/sip_flood.rs
@@ -176,3 +176,16 @@
         drop(flood);
     }
 }
+
+/// Guards against idle connections of one client that keep everybody else out: usual callers connect, and a call is
+/// released to a caller whose connection is gone.
+#[test]
+fn idle_connections_of_one_client_keep_nobody_out() {
+    let exchange = Exchange::start();
+    let proxy = Proxy::start(&exchange.entry(1, "answer", Transport::Tcp), "");
+    let crowd: Vec<TcpStream> =
+        (0..2 * 1024 / 3).filter_map(|_| TcpStream::connect(proxy.addr).ok()).collect();
+    let mut caller = establish(&proxy, "answer", Transport::Tcp);
+    assert_released_in_time(&exchange, "answer", &mut caller);
+    drop(crowd);
+}
