Releases have room of their own in send queues, and outlive their connection

Cause: a release counted for the 64 KiB of its connection's queue like an answer to a new request. The connection was closed as 'reads too slowly' before its writer ran, and whatever was queued on it was dropped.

Change: ConnectionHandle::write_owed queues what an established call is owed beside that limit (the budget of all queues still holds) and remembers it until it is written. The platform front sends what a lost connection gives back on another one, or keeps it for the next; an exchange's actor does the same with its releases.

--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -3,9 +3,12 @@
 //! A send queue uses memory only for the bytes it holds. All send queues share one memory budget
 //! ([`crate::limits::memory`]). When it is exceeded, the connection with the longest queue is closed; one that never
 //! carried a call is closed first.
+//!
+//! What an established call is owed, such as its release, has no part in the limit of one queue, and is kept until it is
+//! written: the owner gets it back from a connection that ends before, to send it on another one.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{self, Read};
 use std::net::Shutdown;
 use std::rc::{Rc, Weak};
@@ -56,6 +59,15 @@
     CutShort,
 }
 
+/// A message that has to be delivered, on another connection if need be.
+#[derive(Debug)]
+struct OwedMessage {
+    message: Message,
+    length: usize,
+    /// Number of bytes written to the connection when all of it is written.
+    written_at: u64,
+}
+
 /// The bytes waiting to be written to one connection.
 #[derive(Debug)]
 struct SendQueue {
@@ -63,6 +75,11 @@
     pending: RefCell<Vec<u8>>,
     /// Length of `pending` plus the bytes that the writer is sending.
     queued_bytes: Cell<usize>,
+    /// Number of bytes ever queued, and ever written.
+    queued_in_all: Cell<u64>,
+    written_in_all: Cell<u64>,
+    /// The owed messages that are not written yet, oldest first.
+    owed: RefCell<VecDeque<OwedMessage>>,
     /// The peer has set up a call, or is an exchange.
     carries_calls: Cell<bool>,
     /// Only the write half is to be closed; the read half stays open.
@@ -80,6 +97,32 @@
     all: RefCell<BTreeMap<u64, Weak<SendQueue>>>,
 }
 
+impl SendQueue {
+    /// Length of the queue without the owed messages.
+    fn limited_bytes(&self) -> usize {
+        let owed: usize = self.owed.borrow().iter().map(|owed| owed.length).sum();
+        self.queued_bytes.get().saturating_sub(owed)
+    }
+
+    /// Appends a message; returns its length.
+    fn append(&self, message: &Message) -> usize {
+        let bytes = message.to_bytes();
+        self.queued_in_all.set(self.queued_in_all.get() + bytes.len() as u64);
+        self.pending.borrow_mut().extend_from_slice(&bytes);
+        bytes.len()
+    }
+
+    /// Records that bytes were written.
+    fn record_written(&self, bytes: usize) {
+        let written = self.written_in_all.get() + bytes as u64;
+        self.written_in_all.set(written);
+        let mut owed = self.owed.borrow_mut();
+        while owed.front().is_some_and(|first| first.written_at <= written) {
+            owed.pop_front();
+        }
+    }
+}
+
 impl SendQueues {
     /// Creates an empty set with a budget of `limit` bytes.
     pub fn new(limit: usize) -> Rc<SendQueues> {
@@ -180,6 +223,9 @@
             stream: stream.clone(),
             pending: RefCell::default(),
             queued_bytes: Cell::new(0),
+            queued_in_all: Cell::new(0),
+            written_in_all: Cell::new(0),
+            owed: RefCell::default(),
             carries_calls: Cell::new(false),
             half_closing: Cell::new(false),
             aborted: Cell::new(false),
@@ -207,21 +253,53 @@
     /// Queues a message without waiting; returns false if the connection is closing. A connection whose queue is too
     /// long is closed, so that one slow peer delays no other.
     pub fn write(&self, message: &Message) -> bool {
-        if self.wake.is_closed() || self.send_queue.aborted.get() {
+        if self.is_closing() {
             return false;
         }
-        if self.send_queue.queued_bytes.get() > MAX_QUEUED_BYTES {
+        if self.send_queue.limited_bytes() > MAX_QUEUED_BYTES {
             telemetry::queue_limit_exceeded("one queue");
             self.send_queues.abort(&self.send_queue, "its send queue is too long");
             return false;
         }
-        let bytes = message.to_bytes();
-        self.send_queues.adjust(&self.send_queue, bytes.len(), 0);
-        self.send_queue.pending.borrow_mut().extend_from_slice(&bytes);
+        let length = self.send_queue.append(message);
+        self.wake_writer(length);
+        true
+    }
+
+    /// Queues a message that an established call is owed, whatever the length of the queue; returns false if the
+    /// connection is closing. If it can't be written, [`ConnectionHandle::take_undelivered`] returns it.
+    pub fn write_owed(&self, message: Message) -> Result<(), Message> {
+        if self.is_closing() {
+            return Err(message);
+        }
+        let length = self.send_queue.append(&message);
+        let written_at = self.send_queue.queued_in_all.get();
+        self.send_queue.owed.borrow_mut().push_back(OwedMessage { message, length, written_at });
+        self.wake_writer(length);
+        Ok(())
+    }
+
+    /// Number of bytes that wait to be written.
+    pub fn queued_bytes(&self) -> usize {
+        self.send_queue.queued_bytes.get()
+    }
+
+    /// Takes the owed messages that were not written, once the connection has ended.
+    pub fn take_undelivered(&self) -> Vec<Message> {
+        let owed = std::mem::take(&mut *self.send_queue.owed.borrow_mut());
+        owed.into_iter().map(|owed| owed.message).collect()
+    }
+
+    fn is_closing(&self) -> bool {
+        self.wake.is_closed() || self.send_queue.aborted.get()
+    }
+
+    /// Counts queued bytes and wakes the writer.
+    fn wake_writer(&self, added: usize) {
+        self.send_queues.adjust(&self.send_queue, added, 0);
         // If a wake-up is already queued, it covers this message as well.
         let _ = self.wake.try_send(());
         self.send_queues.enforce_limit();
-        true
     }
 }
 
@@ -238,7 +316,9 @@
         }
         let written = with_timeout(WRITE_TIMEOUT, stream.write_all(&bytes)).await;
         send_queues.adjust(&send_queue, 0, bytes.len());
-        if written.is_err() {
+        if written.is_ok() {
+            send_queue.record_written(bytes.len());
+        } else {
             let pending = std::mem::take(&mut *send_queue.pending.borrow_mut()).len();
             send_queues.adjust(&send_queue, 0, pending);
             send_queue.aborted.set(true);
--- a/src/net/peer/calls.rs
+++ b/src/net/peer/calls.rs
@@ -102,7 +102,10 @@
         match latest.map(|(connection_id, _)| *connection_id) {
             Some(connection_id) => {
                 let release = self.request("BYE", "call", &id, 2).with("Reason", "Q.850;cause=16");
-                self.write(connection_id, &release);
+                let queued = self.connections.get(&connection_id).map(|c| c.handle.write_owed(release));
+                if !matches!(queued, Some(Ok(()))) {
+                    self.queued_releases.push(id);
+                }
             }
             None => self.queued_releases.push(id),
         }
--- a/src/net/peer/connections.rs
+++ b/src/net/peer/connections.rs
@@ -12,6 +12,7 @@
 use crate::net::conn::ConnectionHandle;
 use crate::net::permits::{Permit, PermitDecision};
 use crate::net::with_timeout;
+use crate::sip::message::Message;
 use crate::telemetry;
 
 /// Pause in seconds before the next attempt to connect.
@@ -25,6 +26,10 @@
 /// The same when the descriptor is needed elsewhere, or the exchange drains.
 const RETIRE_TIME_URGENT: Secs = 0.25;
 
+fn call_id_of(message: &Message) -> &str {
+    message.get("Call-ID").unwrap_or("")
+}
+
 impl Peer {
     /// Opens missing connections, as far as permits are granted.
     pub(super) fn connect(&mut self) {
@@ -149,6 +154,9 @@
         self.liveness.connection_closed(self.now(), connection_id, ending);
         self.verifying_connection = self.verifying_connection.filter(|verifying| *verifying != connection_id);
         telemetry::exchange_connection_lost();
+        for release in lost.handle.take_undelivered() {
+            self.release_at_exchange(CallId(call_id_of(&release).to_owned()));
+        }
         let ended = self.set_ups.connection_ended(connection_id);
         tracing::info!(
             office = self.exchange.0,
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -393,7 +393,12 @@
         if !matches!(reason, CloseReason::Closed | CloseReason::ClosedLocally | CloseReason::Broken(_)) {
             tracing::warn!(over = ?reason, "connection of a caller failed");
         }
+        let ended = self.caller_connections.get(&connection_id);
+        let undelivered = ended.map(|caller| caller.handle.take_undelivered()).unwrap_or_default();
         self.close(connection_id).await;
+        for release in undelivered {
+            self.deliver_release(connection_id, release);
+        }
     }
 
     /// Closes a connection and abandons its pending set-ups.
@@ -490,7 +495,8 @@
             caller.carries_calls = true;
             caller.handle.mark_carries_calls();
             for message in self.undelivered_releases.take_all() {
-                caller.handle.write(&message);
+                // A closing connection was removed before.
+                let _ = caller.handle.write_owed(message);
             }
         }
     }
@@ -597,24 +603,32 @@
     /// Sends a release to the caller. An established call is not bound to a connection: the release goes to the one
     /// of its set-up, else to any open one that has carried calls, else to the next one that does.
     fn deliver_release(&mut self, received_on: u64, message: Message) {
-        if self.write(received_on, &message) {
-            return;
-        }
+        let Err(message) = self.write_release(received_on, message) else { return };
         let mut open: Vec<_> =
             self.caller_connections.iter().filter(|(_, caller)| caller.carries_calls).collect();
         open.sort_by(|(_, a), (_, b)| b.last_active.0.total_cmp(&a.last_active.0));
         let open: Vec<u64> = open.into_iter().map(|(connection_id, _)| *connection_id).collect();
-        if !open.into_iter().any(|connection_id| self.write(connection_id, &message)) {
-            tracing::debug!(
-                call = message.get("Call-ID"),
-                "no connection of a caller is open: release queued"
-            );
-            let dropped = self.undelivered_releases.push(self.front.clock.now(), message);
-            if dropped > 0 {
-                telemetry::releases_dropped(dropped);
-                tracing::warn!(dropped, "releases dropped: too many wait for a connection of a caller");
+        let mut unsent = message;
+        for connection_id in open {
+            match self.write_release(connection_id, unsent) {
+                Ok(()) => return,
+                Err(message) => unsent = message,
             }
         }
+        tracing::debug!(call = unsent.get("Call-ID"), "no connection of a caller is open: release queued");
+        let dropped = self.undelivered_releases.push(self.front.clock.now(), unsent);
+        if dropped > 0 {
+            telemetry::releases_dropped(dropped);
+            tracing::warn!(dropped, "releases dropped: too many wait for a connection of a caller");
+        }
+    }
+
+    /// Queues a release on a connection; gives it back if the connection is closing or gone.
+    fn write_release(&self, connection_id: u64, release: Message) -> Result<(), Message> {
+        match self.caller_connections.get(&connection_id) {
+            Some(caller) => caller.handle.write_owed(release),
+            None => Err(release),
+        }
     }
 }
 
--- a/src/net/sip.rs
+++ b/src/net/sip.rs
@@ -177,6 +177,11 @@
     }
 }
 
+/// Whether an established call or an ended set-up owes a message to the other side.
+fn is_owed(message: &Message) -> bool {
+    matches!(message.method(), Some("BYE" | "ACK" | "CANCEL"))
+}
+
 fn tcp(addr: SocketAddr) -> Hop {
     Hop { transport: Transport::Tcp, addr }
 }
@@ -317,7 +322,12 @@
     }
 
     fn write(&mut self, addr: SocketAddr, message: &Message) -> bool {
-        self.connections.get(&addr).is_some_and(|connection| connection.handle.write(message))
+        let Some(connection) = self.connections.get(&addr) else { return false };
+        if is_owed(message) {
+            connection.handle.write_owed(message.clone()).is_ok()
+        } else {
+            connection.handle.write(message)
+        }
     }
 
     fn handle_connection_event(
@@ -387,8 +397,7 @@
         let connecting = self.connecting.contains_key(&addr);
         let waiting = self.connecting.entry(addr).or_default();
         // What a call owes is limited by the number of calls, and nothing sends it again over TCP.
-        let is_owed = matches!(message.method(), Some("BYE" | "ACK" | "CANCEL"));
-        if is_owed || waiting.len() < MAX_WAITING_MESSAGES {
+        if is_owed(&message) || waiting.len() < MAX_WAITING_MESSAGES {
             waiting.push_back(message);
         }
         if connecting {
