SIP transactions have a share of the memory limit, and leave one timer in all

Cause: 20,000 server transactions had no part in the plan of the memory, and each left a timer with a copy of its key for 32 s, also when it was forgotten.

Change: the limit is in bytes, an eighth of the free memory (MemoryPlan::transactions); a transaction counts with its request, as its response repeats the headers. The finished transactions are kept in the order of their ends, and one timer serves the first of them. An acknowledged one is kept like the others; it may be forgotten like them.

--- a/src/limits/memory.rs
+++ b/src/limits/memory.rs
@@ -21,6 +21,8 @@
     pub releases: usize,
     /// Received datagrams that wait to be handled.
     pub datagrams: usize,
+    /// Server transactions of the SIP front.
+    pub transactions: usize,
 }
 
 impl MemoryPlan {
@@ -28,7 +30,13 @@
     /// kept free.
     pub fn new(limit_mb: usize) -> Self {
         let free = (limit_mb * 1024 * 1024).saturating_sub(BASE_BYTES).max(4 * 1024 * 1024);
-        MemoryPlan { calls: free / 4, queues: free / 4, releases: free / 16, datagrams: free / 32 }
+        MemoryPlan {
+            calls: free / 4,
+            queues: free / 4,
+            releases: free / 16,
+            datagrams: free / 32,
+            transactions: free / 8,
+        }
     }
 }
 
@@ -69,8 +77,7 @@
 
     /// Approximate number of bytes that a waiting message occupies.
     fn byte_size(message: &Message) -> usize {
-        let headers: usize = message.headers.iter().map(|(name, value)| name.len() + value.len() + 48).sum();
-        headers + message.body.len() + size_of::<Message>()
+        message.approximate_bytes() + size_of::<Message>()
     }
 
     /// Adds a release, and returns how many releases were dropped to make room.
@@ -112,7 +119,7 @@
     fn the_shares_leave_a_quarter_free_at_every_limit() {
         for limit_mb in [16, 32, 48, 192, 4096] {
             let plan = MemoryPlan::new(limit_mb);
-            let parts = plan.calls + plan.queues + plan.releases + plan.datagrams;
+            let parts = plan.calls + plan.queues + plan.releases + plan.datagrams + plan.transactions;
             assert!(
                 parts <= (limit_mb * 1024 * 1024).saturating_sub(BASE_BYTES).max(4 * 1024 * 1024) * 3 / 4
             );
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -175,6 +175,7 @@
                 urgent_class: sip_config.urgent_class,
                 exchanges: sip_config.exchanges,
                 seed: config.seed ^ 0x51b,
+                max_transaction_bytes: memory.transactions,
             };
             let sip = sip::SipFront {
                 tasks: tasks.clone(),
--- a/src/sip/agent.rs
+++ b/src/sip/agent.rs
@@ -75,6 +75,8 @@
     pub exchanges: Vec<Exchange>,
     /// The seed of the random tags, branches and call identifiers.
     pub seed: u64,
+    /// Limit of the memory of server transactions, in bytes.
+    pub max_transaction_bytes: usize,
 }
 
 /// Identifies a timer of the agent.
@@ -160,8 +162,8 @@
     pub fn new(config: AgentConfig) -> Self {
         Agent {
             rng: fastrand::Rng::with_seed(config.seed),
+            transactions: TransactionLayer::with_limit(config.max_transaction_bytes),
             config,
-            transactions: TransactionLayer::default(),
             caller_sides: BTreeMap::new(),
             calls_by_server_key: BTreeMap::new(),
             calls_by_dialog: BTreeMap::new(),
--- a/src/sip/message.rs
+++ b/src/sip/message.rs
@@ -134,6 +134,13 @@
         Some((number, parts.next()?))
     }
 
+    /// Returns the approximate memory that the message occupies, in bytes.
+    pub fn approximate_bytes(&self) -> usize {
+        let header_bytes =
+            |(name, value): &(String, String)| name.len() + value.len() + size_of::<(String, String)>();
+        self.headers.iter().map(header_bytes).sum::<usize>() + self.body.len()
+    }
+
     /// Serializes the message and adds its `Content-Length`.
     pub fn to_bytes(&self) -> Vec<u8> {
         let mut head = match &self.start_line {
--- a/src/sip/transaction.rs
+++ b/src/sip/transaction.rs
@@ -11,7 +11,7 @@
 use super::header::{self, Hop, Transport, Via};
 use super::message::Message;
 use crate::interface::{Secs, Time};
-use crate::limits::transactions::{Admission, FinishNumber, RequestKind, TransactionBudget};
+use crate::limits::transactions::{Admission, FinishNumber, RequestKind, TransactionBudget, RECORD_BYTES};
 
 /// Round-trip time estimate in seconds, the base of all timers (RFC 3261, section 17.1.1.1).
 pub const T1: Secs = 0.5;
@@ -21,8 +21,8 @@
 pub const T4: Secs = 5.0;
 /// Duration in seconds of timers B, D, F, H, J, L and M (RFC 3261, appendix A, and RFC 6026).
 pub const TRANSACTION_TIMEOUT: Secs = 64.0 * T1;
-/// Maximum number of server transactions; [`TransactionBudget`] decides what happens at it.
-pub const MAX_TRANSACTIONS: usize = 20_000;
+/// Default limit of the memory of the server transactions, in bytes; [`TransactionBudget`] decides what happens at it.
+pub const DEFAULT_TRANSACTION_BYTES: usize = 32 * 1024 * 1024;
 
 /// The identifier of a transaction (RFC 3261, sections 17.1.3 and 17.2.3). An ACK has the key of its INVITE.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -40,6 +40,9 @@
 pub enum TransactionTimer {
     /// A timer of a server transaction.
     Server(TransactionKey),
+    /// The oldest server transaction with a final response has expired. One timer serves all, so that a transaction
+    /// that is forgotten leaves nothing behind.
+    ServerExpiry,
     /// A timer of a client transaction.
     Client(TransactionKey),
 }
@@ -90,15 +93,18 @@
 struct ServerTransaction {
     /// The sender of the request.
     source: Hop,
-    /// Its number among the finished ones, once it may be forgotten.
-    finished: Option<FinishNumber>,
+    /// Approximate memory of the transaction.
+    bytes: usize,
+    /// Its number among those with a final response.
+    number: Option<FinishNumber>,
+    /// It has its final response and may be forgotten.
+    forgettable: bool,
     hop: Hop,
     fallback: Option<Hop>,
     state: State,
     last_response: Option<Message>,
     retransmit_interval: Secs,
     retransmit_at: Option<Time>,
-    terminate_at: Option<Time>,
 }
 
 #[derive(Debug)]
@@ -123,6 +129,9 @@
 #[derive(Debug)]
 pub struct TransactionLayer {
     budget: TransactionBudget,
+    next_number: FinishNumber,
+    /// The server transactions with a final response, in the order in which they expire.
+    expiries: BTreeMap<FinishNumber, (Time, TransactionKey)>,
     servers: BTreeMap<TransactionKey, ServerTransaction>,
     clients: BTreeMap<TransactionKey, ClientTransaction>,
 }
@@ -172,15 +181,20 @@
 
 impl Default for TransactionLayer {
     fn default() -> Self {
-        TransactionLayer::with_limit(MAX_TRANSACTIONS)
+        TransactionLayer::with_limit(DEFAULT_TRANSACTION_BYTES)
     }
 }
 
 impl TransactionLayer {
-    /// Creates a layer that keeps at most `limit` server transactions, and those that established calls owe.
+    /// Creates a layer whose server transactions take at most `limit` bytes, without those that established calls owe.
     pub fn with_limit(limit: usize) -> Self {
-        let budget = TransactionBudget::new(limit);
-        TransactionLayer { budget, servers: BTreeMap::new(), clients: BTreeMap::new() }
+        TransactionLayer {
+            budget: TransactionBudget::new(limit),
+            next_number: 0,
+            expiries: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            clients: BTreeMap::new(),
+        }
     }
 
     /// Returns the number of transactions.
@@ -205,6 +219,7 @@
         if message.status().is_some() {
             return self.on_response(now, message, out);
         }
+        let bytes = RECORD_BYTES + message.approximate_bytes();
         let (Some(key), Some((hop, fallback))) = (server_key(&message), mark_source(&mut message, source))
         else {
             // Without a valid Via the response can only go to the source of the request.
@@ -215,7 +230,7 @@
             return;
         };
         let is_ack = message.method() == Some("ACK");
-        if !is_ack && !self.servers.contains_key(&key) && !self.make_room(source, kind) {
+        if !is_ack && !self.servers.contains_key(&key) && !self.make_room(source, kind, bytes) {
             let refusal = Message::response(503, "Service Unavailable", &message.headers);
             out.push(TransactionOutput::Send(hop, fallback, refusal));
             return;
@@ -225,9 +240,6 @@
                 if server.state == State::Completed {
                     server.state = State::Confirmed;
                     server.retransmit_at = None;
-                    let end = now + T4;
-                    server.terminate_at = Some(end);
-                    out.push(TransactionOutput::StartTimer(end, TransactionTimer::Server(key)));
                 } else if server.state == State::Accepted {
                     out.push(TransactionOutput::Ack(message));
                 }
@@ -250,16 +262,17 @@
                 let (last_response, state) = (None, State::Proceeding);
                 let server = ServerTransaction {
                     source,
-                    finished: None,
+                    bytes,
+                    number: None,
+                    forgettable: false,
                     hop,
                     fallback,
                     state,
                     last_response,
                     retransmit_interval: T1,
                     retransmit_at: None,
-                    terminate_at: None,
                 };
-                self.budget.started(source);
+                self.budget.started(source, bytes);
                 self.servers.insert(key.clone(), server);
                 if key.method == "INVITE" {
                     let trying = Message::response(100, "Trying", &message.headers);
@@ -271,20 +284,33 @@
     }
 
     /// Makes room for a transaction of a source; returns false if it is refused.
-    fn make_room(&mut self, source: Hop, kind: RequestKind) -> bool {
-        match self.budget.admit(source, kind) {
-            Admission::Admitted => true,
-            Admission::AfterForgetting(key) => {
-                self.remove_server(&key);
-                true
+    fn make_room(&mut self, source: Hop, kind: RequestKind, bytes: usize) -> bool {
+        loop {
+            match self.budget.admit(source, kind, bytes) {
+                Admission::Admitted => return true,
+                Admission::AfterForgetting(key) => self.remove_server(&key),
+                Admission::Refused => return false,
             }
-            Admission::Refused => false,
         }
     }
 
     fn remove_server(&mut self, key: &TransactionKey) {
-        if let Some(server) = self.servers.remove(key) {
-            self.budget.ended(server.source, server.finished);
+        let Some(server) = self.servers.remove(key) else { return };
+        if let Some(number) = server.number {
+            self.expiries.remove(&number);
+        }
+        let finished = server.number.filter(|_| server.forgettable);
+        self.budget.ended(server.source, server.bytes, finished);
+    }
+
+    /// Removes the server transactions that have expired, and starts the timer for the next one.
+    fn expire_servers(&mut self, now: Time, out: &mut Vec<TransactionOutput>) {
+        while let Some((at, key)) = self.expiries.first_key_value().map(|(_, expiry)| expiry.clone()) {
+            if !is_due(Some(at), now) {
+                out.push(TransactionOutput::StartTimer(at, TransactionTimer::ServerExpiry));
+                return;
+            }
+            self.remove_server(&key);
         }
     }
 
@@ -331,15 +357,20 @@
         if status < 200 {
             return;
         }
-        let end = now + TRANSACTION_TIMEOUT;
-        server.terminate_at = Some(end);
-        out.push(TransactionOutput::StartTimer(end, TransactionTimer::Server(key.clone())));
+        let (end, number) = (now + TRANSACTION_TIMEOUT, self.next_number);
+        self.next_number += 1;
+        server.number = Some(number);
+        if self.expiries.is_empty() {
+            out.push(TransactionOutput::StartTimer(end, TransactionTimer::ServerExpiry));
+        }
+        self.expiries.insert(number, (end, key.clone()));
         if key.method == "INVITE" && status < 300 {
             server.state = State::Accepted;
             return;
         }
         server.state = State::Completed;
-        server.finished = Some(self.budget.finished(server.source, key.clone()));
+        server.forgettable = true;
+        self.budget.finished(server.source, server.bytes, number, key.clone());
         if key.method == "INVITE" && server.hop.transport == Transport::Udp {
             let at = now + server.retransmit_interval;
             server.retransmit_at = Some(at);
@@ -456,9 +487,7 @@
         match timer {
             TransactionTimer::Server(key) => {
                 let Some(server) = self.servers.get_mut(&key) else { return };
-                if is_due(server.terminate_at, now) {
-                    self.remove_server(&key);
-                } else if is_due(server.retransmit_at, now) {
+                if is_due(server.retransmit_at, now) {
                     out.extend(server.last_response.clone().map(|last_response| {
                         TransactionOutput::Send(server.hop, server.fallback, last_response)
                     }));
@@ -468,6 +497,7 @@
                     out.push(TransactionOutput::StartTimer(at, TransactionTimer::Server(key)));
                 }
             }
+            TransactionTimer::ServerExpiry => self.expire_servers(now, out),
             TransactionTimer::Client(key) => {
                 let Some(client) = self.clients.get_mut(&key) else { return };
                 if is_due(client.terminate_at, now) {
--- a/tests/sip_fuzz.rs
+++ b/tests/sip_fuzz.rs
@@ -17,6 +17,7 @@
 };
 use mallowring::sip::header::{Hop, Transport};
 use mallowring::sip::message::{Framer, Message, MAX_MESSAGE_BYTES};
+use mallowring::sip::transaction::DEFAULT_TRANSACTION_BYTES;
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::strategy::ValueTree;
@@ -84,6 +85,7 @@
         urgent_class: "voice".to_owned(),
         exchanges: vec![exchange],
         seed: SEED,
+        max_transaction_bytes: DEFAULT_TRANSACTION_BYTES,
     })
 }
 
