The SIP front closes its connections before the end, so that no set-up is lost at it

What callers see: a set-up that reaches an open SIP connection just as the program ends after SIGTERM has no answer; one sent again on a new connection meets a closed port.

Cause: the SIP front's connections and port stayed open until the process ended, with the platform front's rule (close, wait for those that come again, then end) for one front only.

--- a/src/net/engine.rs
+++ b/src/net/engine.rs
@@ -59,9 +59,9 @@
     CheckDrained,
     /// After [`EngineMessage::Drain`]: the platform front has no connection left and accepts no more.
     CallersDisconnected,
-    /// The SIP front's answer to [`SipFrontMessage::CheckReleases`].
-    SipReleases {
-        /// Whether it has releases that are not delivered.
+    /// The SIP front's answer to [`SipFrontMessage::CheckDrained`].
+    SipWork {
+        /// Whether it has something left to do.
         pending: bool,
     },
     /// Log the counters.
@@ -75,8 +75,8 @@
     callers_disconnected: bool,
     /// When the call table was first seen without a call.
     last_call_ended: Option<Time>,
-    /// The SIP front has releases that are not delivered, or has not reported yet that it has none.
-    sip_releases_pending: bool,
+    /// The SIP front has something left to do, or has not reported yet that it has nothing.
+    sip_work_pending: bool,
 }
 
 /// State of the engine actor.
@@ -166,9 +166,9 @@
                         drain.callers_disconnected = true;
                     }
                 }
-                EngineMessage::SipReleases { pending } => {
+                EngineMessage::SipWork { pending } => {
                     if let Some(drain) = &mut drain {
-                        drain.sip_releases_pending = pending;
+                        drain.sip_work_pending = pending;
                     }
                 }
                 EngineMessage::LogSummary => {
@@ -201,29 +201,30 @@
             shutdown,
             callers_disconnected: self.platform.is_none(),
             last_call_ended: None,
-            sip_releases_pending: self.sip.is_some(),
+            sip_work_pending: self.sip.is_some(),
         }
     }
 
     /// Advances a shutdown; returns whether the proxy may exit.
     fn advance_drain(&mut self, now: Time, drain: &mut Drain, effects: &mut Vec<CallEffect>) -> bool {
-        if !drain.shutdown.accepts_set_ups(now) {
-            self.table.stop_admitting();
+        if drain.shutdown.accepts_set_ups(now) {
+            return false;
         }
+        self.table.stop_admitting();
         if drain.shutdown.must_refuse_open(now) {
             self.table.refuse_waiting(now, effects);
         }
         if self.table.waiting_count() + self.table.established_count() > 0 {
             drain.last_call_ended = None;
-            drain.sip_releases_pending = self.sip.is_some();
+            drain.sip_work_pending = self.sip.is_some();
             return false;
         }
         let last_call_ended = *drain.last_call_ended.get_or_insert(now);
         if let Some(sip) = &self.sip {
             // If the front has ended, the time limit of the releases ends the wait for its report.
-            let _ = sip.try_send(SipFrontMessage::CheckReleases);
+            let _ = sip.try_send(SipFrontMessage::CheckDrained);
         }
-        let releases_pending = drain.sip_releases_pending
+        let releases_pending = drain.sip_work_pending
             || !self.peer_context.release_backlog.is_empty()
             || self.peer_context.send_queues.total_bytes() > 0;
         drain.callers_disconnected && drain.shutdown.may_exit(now, last_call_ended, releases_pending)
--- a/src/net/sip.rs
+++ b/src/net/sip.rs
@@ -21,6 +21,7 @@
 use crate::interface::*;
 use crate::limits::callers::{least_needed, IdleConnection};
 use crate::limits::datagrams::DatagramQueue;
+use crate::recovery::shutdown::had_time_to_reconnect;
 use crate::sip::agent::{Agent, AgentConfig, AgentOutput, AgentTimer};
 use crate::sip::header::{Hop, Transport};
 use crate::sip::message::{header, Message, MAX_MESSAGE_BYTES};
@@ -32,6 +33,9 @@
 /// Time within which a message has to be complete, from its first byte.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(2200);
 
+/// Time in seconds for which a new connection is left open during a shutdown, for its first request.
+const SETTLE_TIME: Secs = 0.1;
+
 /// Messages to the SIP front.
 #[derive(Debug)]
 pub enum SipFrontMessage {
@@ -51,8 +55,8 @@
     TimerExpired(AgentTimer),
     /// Close the connection, given by its remote address and its id, unless it has carried a valid message.
     CheckUseful(SocketAddr, u64),
-    /// Report to the engine whether releases are not delivered yet.
-    CheckReleases,
+    /// No call is left: close the connections, and report to the engine whether something is left to do.
+    CheckDrained,
 }
 
 /// What the SIP front needs from the rest of the proxy.
@@ -96,6 +100,8 @@
     connections: BTreeMap<SocketAddr, SipConnection>,
     connecting: BTreeMap<SocketAddr, VecDeque<Message>>,
     next_connection_id: u64,
+    /// Since when there is no connection; while there is one, an earlier time.
+    unconnected_since: Time,
     /// Number of malformed datagrams received.
     malformed: u64,
 }
@@ -114,6 +120,7 @@
         let received = Rc::new(RefCell::new(DatagramQueue::new(self.max_datagram_bytes)));
         self.tasks.spawn("datagram receiver", receive(udp, received.clone(), self.mailbox.clone()));
         self.tasks.spawn("SIP listener", accept(tcp, self.mailbox.clone()));
+        let unconnected_since = self.clock.now();
         let mut state = State {
             front: self,
             agent: Agent::new(setup),
@@ -122,6 +129,7 @@
             connections: BTreeMap::new(),
             connecting: BTreeMap::new(),
             next_connection_id: 0,
+            unconnected_since,
             malformed: 0,
         };
         let mut outputs = Vec::new();
@@ -195,11 +203,7 @@
                 self.agent.send_to_exchange(now, exchange, id, command, outputs)
             }
             SipFrontMessage::TimerExpired(alarm) => self.agent.on_timer(now, alarm, outputs),
-            SipFrontMessage::CheckReleases => {
-                let pending = self.agent.has_pending_releases();
-                // The engine may have ended by the time limit of the releases.
-                let _ = self.front.engine.try_send(EngineMessage::SipReleases { pending });
-            }
+            SipFrontMessage::CheckDrained => self.check_drained(now, outputs),
             SipFrontMessage::DatagramsWaiting => self.handle_datagram(now, outputs),
             SipFrontMessage::Accepted(stream, addr, _turn) => {
                 if self.connections.len() >= self.front.max_accepted && !self.make_room(now, outputs) {
@@ -269,6 +273,25 @@
         tracing::warn!(%addr, what, count = self.malformed, "malformed datagram dropped");
     }
 
+    /// Closes the connections once every release is delivered, and reports whether the front has something left to do. A
+    /// set-up that crosses the close is sent again on a new connection, and refused there.
+    fn check_drained(&mut self, now: Time, outputs: &mut Vec<AgentOutput>) {
+        let delivered = !self.agent.has_pending_releases();
+        if delivered {
+            let is_new =
+                |connection: &SipConnection| !connection.useful && now - connection.last_active < SETTLE_TIME;
+            let settled = self.connections.iter().filter(|(_, connection)| !is_new(connection));
+            let settled: Vec<SocketAddr> = settled.map(|(addr, _)| *addr).collect();
+            settled.into_iter().for_each(|addr| self.close(now, addr, outputs));
+        }
+        if !self.connections.is_empty() {
+            self.unconnected_since = now;
+        }
+        let pending = !delivered || !had_time_to_reconnect(now, self.unconnected_since);
+        // The engine may have ended by the time limit of the releases.
+        let _ = self.front.engine.try_send(EngineMessage::SipWork { pending });
+    }
+
     /// Closes the connection that is least needed; returns whether there was one without an open set-up.
     fn make_room(&mut self, now: Time, outputs: &mut Vec<AgentOutput>) -> bool {
         let uses = self.agent.connection_uses();
@@ -289,6 +312,7 @@
     }
 
     fn close(&mut self, now: Time, addr: SocketAddr, outputs: &mut Vec<AgentOutput>) {
+        self.unconnected_since = now;
         self.connections.remove(&addr);
         self.agent.on_connection_failed(now, tcp(addr), TransactionFailure::ConnectionLost, outputs);
     }
--- a/src/recovery/shutdown.rs
+++ b/src/recovery/shutdown.rs
@@ -94,7 +94,7 @@
     /// Whether a front may stop accepting connections.
     pub fn may_stop_accepting(&self, now: Time, remaining: &RemainingWork) -> bool {
         now - self.started >= MIN_SHUTDOWN
-            && now - remaining.unconnected_since >= RECONNECT_PERIOD
+            && had_time_to_reconnect(now, remaining.unconnected_since)
             && remaining.established == 0
             && !is_release_owed(now, remaining.last_undelivered_release)
     }
@@ -107,6 +107,12 @@
     }
 }
 
+/// Whether callers whose connections were closed at `unconnected_since` had time to send a set-up again that crossed the
+/// close.
+pub fn had_time_to_reconnect(now: Time, unconnected_since: Time) -> bool {
+    now - unconnected_since >= RECONNECT_PERIOD
+}
+
 /// Whether a release that was issued at this time still has to be delivered.
 fn is_release_owed(now: Time, issued: Option<Time>) -> bool {
     issued.is_some_and(|issued| now - issued < RELEASE_PERIOD)
--- a/tests/sip_shutdown.rs
+++ b/tests/sip_shutdown.rs
@@ -2,6 +2,8 @@
 
 mod standin;
 
+use std::io::{Read, Write};
+use std::net::TcpStream;
 use std::thread::sleep;
 use std::time::{Duration, Instant};
 
@@ -72,3 +74,29 @@
         assert!(proxy.has_ended_within(END_LIMIT));
     }
 }
+
+/// Guards against set-ups that are lost at the end: one that crosses the close of its connection is sent again on a new
+/// one, and refused there, before the port closes.
+#[test]
+fn a_set_up_that_crosses_the_close_is_refused_on_a_new_connection() {
+    let exchange = Exchange::start();
+    let proxy = Proxy::start(&exchange.entry(1, "answer", Transport::Tcp), "");
+    let mut stream = TcpStream::connect(proxy.addr).expect("the proxy accepts");
+    let local = stream.local_addr().expect("it is connected");
+    let options = Message::request("OPTIONS", "sip:ping@127.0.0.1")
+        .with("Via", format!("SIP/2.0/TCP {local};branch=z9hG4bKping"))
+        .with("From", "<sip:ping@127.0.0.1>;tag=ping")
+        .with("To", "<sip:ping@127.0.0.1>")
+        .with("Call-ID", "ping")
+        .with("CSeq", "1 OPTIONS");
+    stream.write_all(&options.to_bytes()).expect("it is sent");
+    proxy.shut_down();
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received).expect("the proxy closes it in order");
+    assert!(received.starts_with(b"SIP/2.0 200"), "{}", String::from_utf8_lossy(&received));
+    let mut caller = Caller::new(proxy.addr, Transport::Tcp);
+    caller.send(&caller.invite("answer", 5000, b"offer"));
+    assert_eq!(caller.final_response("INVITE").status(), Some(480));
+    drop(stream);
+    assert!(proxy.has_ended_within(END_LIMIT));
+}
