Soak: SIP fronts with callers and an exchange, and clients that flood both fronts

Change: stand-ins for SIP callers and an exchange over TCP (crates/standin/src/sip), and flooding clients on threads of their own: set-ups in vain to either front, hundreds at once, OPTIONS over UDP, idle SIP connections. Half of the plans have SIP fronts beside the platform's, with calls of their own; their draws are separate, so that kept trials stay as they were. The judge reads the same record; a SIP caller accepts connections and counts as reachable.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -86,11 +86,19 @@
     BadCallers,
     /// Many connections are opened that never complete a request.
     Crowd,
+    /// Clients send set-ups that are turned away to the platform front, hundreds at once.
+    Flood,
+    /// Clients send set-ups that are turned away to the SIP front, hundreds at once.
+    SipFlood,
+    /// Clients send OPTIONS requests to the SIP front over UDP, hundreds at once.
+    SipOptionsFlood,
+    /// Many connections to the SIP front are opened that never send anything.
+    SipCrowd,
 }
 
 impl FaultKind {
     /// All kinds, in the order in which plans draw from them.
-    pub const ALL: [FaultKind; 39] = [
+    pub const ALL: [FaultKind; 43] = [
         FaultKind::Vanish,
         FaultKind::CutOff,
         FaultKind::Hang,
@@ -130,6 +138,10 @@
         FaultKind::SlowWriters,
         FaultKind::BadCallers,
         FaultKind::Crowd,
+        FaultKind::Flood,
+        FaultKind::SipFlood,
+        FaultKind::SipOptionsFlood,
+        FaultKind::SipCrowd,
     ];
 
     /// Returns the name of the kind on the command line.
@@ -174,6 +186,10 @@
             FaultKind::SlowWriters => "slow-writers",
             FaultKind::BadCallers => "bad-callers",
             FaultKind::Crowd => "crowd",
+            FaultKind::Flood => "flood",
+            FaultKind::SipFlood => "sip-flood",
+            FaultKind::SipOptionsFlood => "sip-options-flood",
+            FaultKind::SipCrowd => "sip-crowd",
         }
     }
 
@@ -191,7 +207,11 @@
             | FaultKind::CallersReturn
             | FaultKind::SlowWriters
             | FaultKind::BadCallers
-            | FaultKind::Crowd => Target::Proxy,
+            | FaultKind::Crowd
+            | FaultKind::Flood
+            | FaultKind::SipFlood
+            | FaultKind::SipOptionsFlood
+            | FaultKind::SipCrowd => Target::Proxy,
             FaultKind::StallTrial => Target::Trial,
             _ => Target::Exchange,
         }
@@ -202,6 +222,11 @@
         matches!(self, FaultKind::CutToExchange | FaultKind::CutFromExchange | FaultKind::SlowNetwork)
     }
 
+    /// Returns whether the fault is one of the SIP front.
+    pub fn needs_sip(self) -> bool {
+        matches!(self, FaultKind::SipFlood | FaultKind::SipOptionsFlood | FaultKind::SipCrowd)
+    }
+
     /// Returns the shortest and the longest duration, in seconds.
     pub fn duration_range_s(self) -> (f64, f64) {
         match self {
@@ -224,6 +249,7 @@
             | FaultKind::Terminate
             | FaultKind::TerminateOnly => (0.1, 0.5),
             FaultKind::SilentConnection => (1.0, 6.0),
+            FaultKind::SipFlood => (3.0, 5.0),
             _ => (1.0, 5.0),
         }
     }
--- a/crates/soak/src/judge/calls.rs
+++ b/crates/soak/src/judge/calls.rs
@@ -211,7 +211,9 @@
     let killed = context.proxy_kill_after(call.proxy, call.requested_at).is_some_and(|at| at <= due_at);
     let exit = context.proxy_exit_after(call.proxy, call.requested_at).unwrap_or(f64::INFINITY);
     let (from, due_at) = (from.min(exit), due_at.min(exit));
-    established && !hung_up && !killed && context.caller_was_connected(call.proxy, from, due_at)
+    let listens = call.first(|observation| *observation == Observation::CallerListens).is_some();
+    let reachable = listens || context.caller_was_connected(call.proxy, from, due_at);
+    established && !hung_up && !killed && reachable
 }
 
 fn release_received_at(call: &CallHistory) -> f64 {
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -11,6 +11,9 @@
 /// Time within which a crowd arrives, in seconds.
 const CROWD_SECONDS: f64 = 0.8;
 
+/// Changes a trial's seed for the draws that concern its SIP fronts.
+const SIP_SEED: u64 = 0x51b0;
+
 /// One planned call.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct PlannedCall {
@@ -72,6 +75,10 @@
     pub relayed: bool,
     /// Start of a crowd of calls at every proxy, in seconds from the start of the load, if there is one.
     pub crowd_at: Option<f64>,
+    /// Whether the proxies have a SIP front too, with an exchange and callers of its own.
+    pub sip: bool,
+    /// Calls to the SIP fronts in chronological order.
+    pub sip_calls: Vec<PlannedCall>,
     /// Calls in chronological order.
     pub calls: Vec<PlannedCall>,
     /// Faults in chronological order.
@@ -107,9 +114,18 @@
             callers: rng.random_range(1..=6),
             relayed: rng.random_range(0..2) == 0,
             crowd_at: None,
+            sip: false,
+            sip_calls: Vec::new(),
             calls: Vec::new(),
             faults: Vec::new(),
         };
+        // Draws of their own, so that plans without a SIP front stay as they were.
+        let mut sip_rng = Pcg64Mcg::seed_from_u64(seed ^ SIP_SEED);
+        let wants_sip = options.only.is_empty() || options.only.iter().any(|kind| kind.needs_sip());
+        plan.sip = wants_sip && (!options.only.is_empty() || sip_rng.random_range(0..2) == 0);
+        if plan.sip {
+            plan.sip_calls = plan.draw_sip_calls(&mut sip_rng);
+        }
         plan.faults = plan.draw_faults(&mut rng, options);
         plan.calls = plan.draw_calls(&mut rng);
         if rng.random_range(0..4) == 0 {
@@ -139,6 +155,30 @@
         self.calls.sort_by(|a, b| a.at.total_cmp(&b.at));
     }
 
+    fn draw_sip_calls(&self, rng: &mut Pcg64Mcg) -> Vec<PlannedCall> {
+        let mut calls = Vec::new();
+        for proxy in 0..self.proxies {
+            let rate: f64 = rng.random_range(1.0..=4.0);
+            let mut at = rng.random_range(0.0..0.5);
+            while at < self.seconds {
+                let caller_wait_s = self.give_up * rng.random_range(0.6..=1.0);
+                calls.push(PlannedCall {
+                    at,
+                    proxy,
+                    caller: 0,
+                    exchange: 0,
+                    answer_ms: rng.random_range(2..60),
+                    hold_ms: rng.random_range(200..9_000),
+                    deadline_ms: (caller_wait_s * 1000.0).round() as u64,
+                    hang_up_ms: None,
+                });
+                at += -(1.0 - rng.random_range(0.0..1.0_f64)).ln() / rate;
+            }
+        }
+        calls.sort_by(|a, b| a.at.total_cmp(&b.at));
+        calls
+    }
+
     fn draw_calls(&self, rng: &mut Pcg64Mcg) -> Vec<PlannedCall> {
         let mut calls = Vec::new();
         for proxy in 0..self.proxies {
@@ -182,6 +222,7 @@
             false => options.only.clone(),
         };
         kinds.retain(|kind| self.relayed || !kind.needs_relay());
+        kinds.retain(|kind| self.sip || !kind.needs_sip());
         if kinds.is_empty() {
             return Vec::new();
         }
--- a/crates/soak/src/report.rs
+++ b/crates/soak/src/report.rs
@@ -101,6 +101,9 @@
         plan.seed, plan.proxies, plan.exchanges, relayed, plan.seconds, plan.calls.len(), plan.give_up, plan.descriptors,
         plan.memory_mb
     );
+    if plan.sip {
+        let _ = writeln!(text, "          SIP fronts with {} calls", plan.sip_calls.len());
+    }
     if let Some(at) = plan.crowd_at {
         let _ = writeln!(text, "  {at:7.3} a crowd of calls at every proxy");
     }
--- a/crates/soak/src/trial/faults.rs
+++ b/crates/soak/src/trial/faults.rs
@@ -7,6 +7,7 @@
 use mallowring_standin::exchange::{Exchange, Misbehaviour};
 use mallowring_standin::record::Observation;
 use mallowring_standin::relay::Link;
+use mallowring_standin::sip::flood::Flood;
 use mallowring_standin::sleep;
 use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
@@ -94,6 +95,10 @@
             FaultKind::CallersReturn => self.pools[fault.target].close_all(),
             FaultKind::BadCallers => self.send_malformed_requests(fault.target).await,
             FaultKind::Crowd => self.open_crowd(fault.target),
+            FaultKind::Flood => self.flood(Flood::PlatformSetUps, &fault),
+            FaultKind::SipFlood => self.flood(Flood::SipSetUps, &fault),
+            FaultKind::SipOptionsFlood => self.flood(Flood::SipOptions, &fault),
+            FaultKind::SipCrowd => self.open_sip_crowd(fault.target),
         }
     }
 
--- a/crates/soak/src/trial/mod.rs
+++ b/crates/soak/src/trial/mod.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod faults;
 mod proxies;
+mod sip;
 mod watch;
 
 use std::cell::{Cell, RefCell};
@@ -20,6 +21,7 @@
 use mallowring_standin::relay::Relay;
 use mallowring_standin::{run, sleep, Executor};
 use proxies::SupervisedProxy;
+use sip::SipSide;
 
 use crate::coverage::Coverage;
 use crate::judge::DeploymentParameters;
@@ -62,6 +64,7 @@
     relays: RefCell<BTreeMap<SocketAddr, Relay>>,
     proxies: Vec<SupervisedProxy>,
     pools: Vec<CallerPool>,
+    sip: SipSide,
     coverage: RefCell<Coverage>,
     load_started_at: Cell<f64>,
     finished: Cell<bool>,
@@ -122,9 +125,16 @@
             let mut config = ProxyConfig::new(&format!("n{proxy}"), proxy as i64, plan.proxies);
             config.give_up = plan.give_up;
             config.limits = (plan.memory_mb, plan.descriptors);
+            if plan.sip {
+                config.sip_exchange = Some(SipSide::start_exchange(&executor, &record, proxy)?.addr());
+            }
             proxies.push(SupervisedProxy::start(&program, config, &discovery, proxy, &record)?);
             discoveries.push(discovery);
         }
+        let sip = match plan.sip {
+            true => SipSide::start_callers(&executor, &record, &proxies)?,
+            false => SipSide::default(),
+        };
         let pools = (0..plan.proxies).map(|_| CallerPool::new(plan.callers)).collect();
         Ok(RunningTrial {
             executor,
@@ -138,6 +148,7 @@
             relays: RefCell::new(relays),
             proxies,
             pools,
+            sip,
             coverage: RefCell::default(),
             load_started_at: Cell::new(0.0),
             finished: Cell::new(false),
@@ -158,6 +169,14 @@
             };
             self.executor.spawn(call_task).detach();
         }
+        for call in self.plan.sip_calls.clone() {
+            let trial = self.clone();
+            let call_task = async move {
+                trial.sleep_until(call.at).await;
+                trial.play_sip_call(call).await;
+            };
+            self.executor.spawn(call_task).detach();
+        }
         for fault in self.plan.faults.clone() {
             let trial = self.clone();
             let fault_task = async move {
--- a/crates/soak/src/trial/proxies.rs
+++ b/crates/soak/src/trial/proxies.rs
@@ -70,6 +70,11 @@
         self.proxy.borrow().listen
     }
 
+    /// Returns the address of the SIP front.
+    pub fn sip_listen(&self) -> SocketAddr {
+        self.proxy.borrow().sip_listen()
+    }
+
     /// Returns the state of the process.
     pub fn process_state(&self) -> ProcessState {
         self.process_state.get()
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod proxy;
 pub mod record;
 pub mod relay;
+pub mod sip;
 
 use std::rc::Rc;
 
--- a/crates/standin/src/proxy.rs
+++ b/crates/standin/src/proxy.rs
@@ -22,6 +22,11 @@
 const OPTIONS_TIMEOUT_S: f64 = 1.0;
 /// The port of every proxy; each proxy has its own IP address.
 const LISTEN_PORT: u16 = 2905;
+/// The port of the SIP front of every proxy.
+const SIP_PORT: u16 = 5060;
+/// Number of the exchange that speaks SIP, and size of the trunk group to it.
+const SIP_EXCHANGE_NUMBER: i64 = 900;
+const SIP_CIRCUITS: u32 = 400;
 /// Interval in seconds at which the process is polled.
 const POLL_INTERVAL_S: f64 = 0.01;
 
@@ -38,12 +43,16 @@
     pub give_up: f64,
     /// Limits on memory in MB and on file descriptors.
     pub limits: (u64, u64),
+    /// The address of the exchange to which the proxy's SIP front routes all its calls; without one, the proxy has no SIP
+    /// front.
+    pub sip_exchange: Option<SocketAddr>,
 }
 
 impl ProxyConfig {
     /// Creates the configuration of a proxy in a small deployment with default limits.
     pub fn new(name: &str, own_number: i64, proxies: usize) -> ProxyConfig {
-        ProxyConfig { name: name.to_owned(), own_number, proxies, give_up: 3.0, limits: (192, 1024) }
+        let name = name.to_owned();
+        ProxyConfig { name, own_number, proxies, give_up: 3.0, limits: (192, 1024), sip_exchange: None }
     }
 
     fn json(&self, listen: SocketAddr, discovery: &Discovery) -> Value {
@@ -66,6 +75,15 @@
     }
 }
 
+/// The operators' service file: the SIP front at an address, and its one exchange, reached over TCP.
+fn service_file(listen: SocketAddr, exchange: SocketAddr) -> String {
+    format!(
+        "name = \"soak\"\n[sip]\nlisten = \"{listen}\"\nurgent_class = \"alarm\"\n[[sip.exchanges]]\n\
+         number = {SIP_EXCHANGE_NUMBER}\nprefixes = [\"a\"]\naddress = \"{exchange}\"\ntransport = \"tcp\"\n\
+         circuits = {SIP_CIRCUITS}\n"
+    )
+}
+
 /// A running proxy; its process is killed on drop.
 pub struct Proxy {
     config: ProxyConfig,
@@ -99,6 +117,11 @@
         Ok(Proxy { config: config.clone(), listen, directory, child })
     }
 
+    /// The address of the SIP front, if there is one.
+    pub fn sip_listen(&self) -> SocketAddr {
+        SocketAddr::new(self.listen.ip(), SIP_PORT)
+    }
+
     /// Returns the process id.
     pub fn id(&self) -> u32 {
         self.child.id()
@@ -221,8 +244,14 @@
     let config_path = directory.join("config.json");
     std::fs::write(&config_path, config.json(listen, discovery).to_string())?;
     let log = File::create(directory.join("log"))?;
-    let child = Command::new(program)
-        .env_clear()
+    let mut command = Command::new(program);
+    command.env_clear();
+    if let Some(exchange) = config.sip_exchange {
+        let path = directory.join("service.toml");
+        std::fs::write(&path, service_file(SocketAddr::new(listen.ip(), SIP_PORT), exchange))?;
+        command.env("MALLOWRING_SERVICE", path);
+    }
+    let child = command
         .env("NODE_CONFIG", &config_path)
         .env("NODE_NAME", &config.name)
         .env("NODE_LISTEN", listen.to_string())
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -30,6 +30,8 @@
     ReleaseReceived(u32),
     /// A caller wrote a release.
     HungUp,
+    /// The caller of a call accepts connections itself, on which its release may arrive at any time.
+    CallerListens,
     /// A caller's connection was established.
     CallerConnected,
     /// A caller closed its connection.
