One caller's open set-ups take at most half of the memory of call records

What callers saw: beside one caller whose set-ups carry long descriptions, and whose exchanges answer late, the set-ups of all others were refused for want of memory. With long headers instead, a proxy with a limit of 16 MB held 18.1 and 18.3 MB.

Cause: the share of call records was given to whoever came first, and the headers that the platform front keeps until the answer counted for no share. SIP set-ups are limited by the transactions of their source already.

Change: limits/set_ups.rs admits set-ups by connection: half of the records' share for each, and a 32nd of the free memory for headers beyond the 1 KiB that a record has room for, half of it for each; beyond that, 503 with a cool-down.

--- a/src/calls/mod.rs
+++ b/src/calls/mod.rs
@@ -12,7 +12,7 @@
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
-pub use table::{Table, MARGIN};
+pub use table::{Table, MARGIN, RECORD_BYTES};
 
 use crate::interface::*;
 use crate::recovery::attempt_end::AttemptEnd;
--- a/src/calls/table.rs
+++ b/src/calls/table.rs
@@ -22,7 +22,7 @@
 
 /// Approximate memory in bytes of a call without its description, in all places that keep a record of it: the call
 /// table, the decision module, the front, the exchange's actor and the timers.
-const RECORD_BYTES: usize = 2048;
+pub const RECORD_BYTES: usize = 2048;
 
 #[derive(Clone, Debug, PartialEq)]
 enum Stage {
--- a/src/limits/memory.rs
+++ b/src/limits/memory.rs
@@ -23,6 +23,8 @@
     pub datagrams: usize,
     /// Server transactions of the SIP front.
     pub transactions: usize,
+    /// Headers of open set-ups of the platform's callers, beyond what the records of their calls have room for.
+    pub set_up_headers: usize,
 }
 
 impl MemoryPlan {
@@ -36,6 +38,7 @@
             releases: free / 16,
             datagrams: free / 32,
             transactions: free / 8,
+            set_up_headers: free / 32,
         }
     }
 }
@@ -119,7 +122,8 @@
     fn the_shares_leave_a_quarter_free_at_every_limit() {
         for limit_mb in [16, 32, 48, 192, 4096] {
             let plan = MemoryPlan::new(limit_mb);
-            let parts = plan.calls + plan.queues + plan.releases + plan.datagrams + plan.transactions;
+            let fronts = plan.datagrams + plan.transactions + plan.set_up_headers;
+            let parts = plan.calls + plan.queues + plan.releases + fronts;
             assert!(
                 parts <= (limit_mb * 1024 * 1024).saturating_sub(BASE_BYTES).max(4 * 1024 * 1024) * 3 / 4
             );
--- a/src/limits/mod.rs
+++ b/src/limits/mod.rs
@@ -6,4 +6,6 @@
 pub mod datagrams;
 pub mod descriptors;
 pub mod memory;
+pub mod set_ups;
+pub mod shares;
 pub mod transactions;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -149,7 +149,7 @@
                 send_queues: send_queues.clone(),
                 permits: permits.clone(),
                 max_connections: descriptors.callers,
-                max_release_bytes: memory.releases,
+                memory,
                 stop_accepting,
             };
             tasks.spawn("platform front", platform.run(messages));
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -18,7 +18,8 @@
 use crate::calls::{CallEvent, CallerCommand, Front, RejectReason, Request};
 use crate::interface::*;
 use crate::limits::callers::{least_needed, IdleConnection};
-use crate::limits::memory::WaitingReleases;
+use crate::limits::memory::{MemoryPlan, WaitingReleases};
+use crate::limits::set_ups::{SetUpBudget, SetUpSize};
 use crate::recovery::shutdown::{ConnectionUse, RemainingWork, Shutdown};
 use crate::sip::message::{header, Message, StartLine};
 use crate::telemetry;
@@ -68,6 +69,8 @@
     received_on: u64,
     /// Headers of the set-up, needed for the response; empty once it is answered.
     headers: Vec<(String, String)>,
+    /// Memory that the set-up takes until it is answered.
+    size: SetUpSize,
     uri: String,
     /// The set-up was answered with 200: the call is established.
     answered: bool,
@@ -127,8 +130,8 @@
     pub permits: Rc<Permits>,
     /// Limit of callers' connections.
     pub max_connections: usize,
-    /// Limit in bytes of the releases that wait for a connection.
-    pub max_release_bytes: usize,
+    /// The division of the memory limit.
+    pub memory: MemoryPlan,
     /// Tells the listener task to stop accepting.
     pub stop_accepting: Sender<()>,
 }
@@ -141,6 +144,8 @@
     calls: BTreeMap<CallId, CallerLeg>,
     /// Releases that wait for a connection with `carries_calls`.
     undelivered_releases: WaitingReleases,
+    /// Memory of the set-ups without a final answer.
+    open_set_ups: SetUpBudget,
     shutdown: Option<Shutdown>,
     /// Since when no caller is connected; while one is, a recent time.
     no_callers_since: Time,
@@ -194,7 +199,8 @@
     pub async fn run(self, messages: Receiver<PlatformMessage>) {
         let (caller_connections, calls) = (BTreeMap::new(), BTreeMap::new());
         let no_callers_since = self.clock.now();
-        let undelivered_releases = WaitingReleases::new(self.max_release_bytes);
+        let undelivered_releases = WaitingReleases::new(self.memory.releases);
+        let open_set_ups = SetUpBudget::new(&self.memory);
         let mut state = State {
             front: self,
             ready: false,
@@ -202,6 +208,7 @@
             caller_connections,
             calls,
             undelivered_releases,
+            open_set_ups,
             shutdown: None,
             no_callers_since,
             accepting: Accepting::Yes,
@@ -404,6 +411,7 @@
     /// Closes a connection and abandons its pending set-ups.
     async fn close(&mut self, connection_id: u64) {
         self.caller_connections.remove(&connection_id);
+        self.open_set_ups.connection_ended(connection_id);
         self.no_callers_since = self.front.clock.now();
         let open = self.calls.iter().filter(|(_, leg)| leg.received_on == connection_id && !leg.answered);
         let open: Vec<CallId> = open.map(|(id, _)| id.clone()).collect();
@@ -417,7 +425,7 @@
     fn withdraw_set_up(&mut self, connection_id: u64, id: &CallId) -> Option<CallerLeg> {
         self.calls.get(id).filter(|leg| leg.received_on == connection_id && !leg.answered)?;
         let leg = self.calls.remove(id)?;
-        self.set_up_answered(connection_id);
+        self.set_up_answered(connection_id, leg.size);
         Some(leg)
     }
 
@@ -434,7 +442,8 @@
     }
 
     /// Records that a set-up on a connection has its final answer.
-    fn set_up_answered(&mut self, connection_id: u64) {
+    fn set_up_answered(&mut self, connection_id: u64, size: SetUpSize) {
+        self.open_set_ups.answered(connection_id, size);
         if let Some(caller) = self.caller_connections.get_mut(&connection_id) {
             caller.open_set_ups = caller.open_set_ups.saturating_sub(1);
             caller.last_active = self.front.clock.now();
@@ -527,11 +536,12 @@
             }
         };
         if self.caller_connections.get(&connection_id).is_some_and(|caller| caller.over_limit) {
-            telemetry::request_refused("too many callers");
-            tracing::info!(call = id.0, reason = "too many callers", "request refused");
-            let refusal = Message::response(503, "Service Unavailable", &message.headers);
-            self.write(connection_id, &refusal.with("X-Cooldown", COOL_DOWN_MS));
-            return;
+            return self.refuse_set_up(connection_id, &id, "too many callers", &message);
+        }
+        let size =
+            SetUpSize::new(request.description.len(), message.approximate_bytes() - message.body.len());
+        if !self.open_set_ups.try_open(connection_id, size) {
+            return self.refuse_set_up(connection_id, &id, "share of the caller", &message);
         }
         let uri = match message.start_line {
             StartLine::Request { uri, .. } => uri,
@@ -542,11 +552,19 @@
         }
         self.calls.insert(
             id,
-            CallerLeg { received_on: connection_id, headers: message.headers, uri, answered: false },
+            CallerLeg { received_on: connection_id, headers: message.headers, size, uri, answered: false },
         );
         self.send_event(CallEvent::Request(request)).await;
     }
 
+    /// Refuses a set-up for want of a resource of this front, with a cool-down.
+    fn refuse_set_up(&mut self, connection_id: u64, id: &CallId, reason: &'static str, set_up: &Message) {
+        telemetry::request_refused(reason);
+        tracing::info!(call = id.0, reason, "request refused");
+        let refusal = Message::response(503, "Service Unavailable", &set_up.headers);
+        self.write(connection_id, &refusal.with("X-Cooldown", COOL_DOWN_MS));
+    }
+
     fn handle_caller_command(&mut self, id: CallId, command: CallerCommand) {
         if matches!(command, CallerCommand::Release { .. }) {
             self.established_call_ended(&id);
@@ -586,14 +604,14 @@
                 return self.deliver_release(received_on, message);
             }
         };
-        let received_on = leg.received_on;
+        let (received_on, size) = (leg.received_on, leg.size);
         telemetry::final_answer_sent(if ends_call { "refused" } else { "stands" });
         if ends_call {
             self.calls.remove(&id);
         } else if let Some(caller) = self.caller_connections.get_mut(&received_on) {
             caller.established_calls += 1;
         }
-        self.set_up_answered(received_on);
+        self.set_up_answered(received_on, size);
         if valid {
             self.record_valid_request(received_on, true);
         }
