Soak: a caller that leaves ends its wait also on connections that the proxy had closed

The judge takes a connection that the proxy has closed as kept by its caller, so that a proxy is not excused by its own act; but the caller's own later close was not recorded for it.

Change: the close is recorded, also for connections that a later one had replaced. The judge's rules are as before; its test has the two cases.

--- a/crates/soak/src/trial/callers.rs
+++ b/crates/soak/src/trial/callers.rs
@@ -26,9 +26,34 @@
 
 type CallerConnection = Rc<Caller>;
 
+/// The connections of one caller.
+#[derive(Default)]
+struct CallerSlot {
+    current: Option<CallerConnection>,
+    /// Connections that the proxy has closed while the caller needed one, so that `current` took their place. They count
+    /// as kept by the caller until it closes that one.
+    replaced: Vec<CallerConnection>,
+}
+
+impl CallerSlot {
+    /// Makes a connection the current one.
+    fn set_current(&mut self, connection: CallerConnection) {
+        self.replaced.extend(self.current.replace(connection));
+    }
+
+    fn close(&mut self) {
+        let connections = self.current.take().into_iter().chain(self.replaced.drain(..));
+        connections.for_each(|connection| connection.close());
+    }
+
+    fn is_idle(&self) -> bool {
+        self.current.as_ref().is_some_and(|connection| connection.is_idle_for(IDLE_TIMEOUT_S))
+    }
+}
+
 /// The callers of one proxy.
 pub struct CallerPool {
-    connections: RefCell<Vec<Option<CallerConnection>>>,
+    callers: RefCell<Vec<CallerSlot>>,
     /// Whether the callers give up early and repeat the call.
     pub impatient: Cell<bool>,
     /// Whether the callers write in fragments.
@@ -38,26 +63,18 @@
 impl CallerPool {
     /// Creates a pool of callers without connections.
     pub fn new(callers: usize) -> CallerPool {
-        let connections = RefCell::new((0..callers).map(|_| None).collect());
-        CallerPool { connections, impatient: Cell::new(false), slow: Cell::new(false) }
+        let callers = RefCell::new((0..callers).map(|_| CallerSlot::default()).collect());
+        CallerPool { callers, impatient: Cell::new(false), slow: Cell::new(false) }
     }
 
     /// Closes the connections of all callers.
     pub fn close_all(&self) {
-        self.connections
-            .borrow_mut()
-            .iter_mut()
-            .filter_map(Option::take)
-            .for_each(|connection| connection.close());
+        self.callers.borrow_mut().iter_mut().for_each(CallerSlot::close);
     }
 
     /// Closes the connections that have been idle for [`IDLE_TIMEOUT_S`].
     pub fn close_idle(&self) {
-        for current in self.connections.borrow_mut().iter_mut() {
-            if let Some(connection) = current.take_if(|connection| connection.is_idle_for(IDLE_TIMEOUT_S)) {
-                connection.close();
-            }
-        }
+        self.callers.borrow_mut().iter_mut().filter(|caller| caller.is_idle()).for_each(CallerSlot::close);
     }
 }
 
@@ -65,7 +82,7 @@
     /// Returns the connection of a caller and opens one if it has none. A set-up that is sent again may open one at
     /// any time while the proxy runs.
     async fn connection(&self, proxy: usize, caller: usize, is_resend: bool) -> Option<CallerConnection> {
-        let current = self.pools[proxy].connections.borrow()[caller].clone();
+        let current = self.pools[proxy].callers.borrow()[caller].current.clone();
         if let Some(connection) = current.filter(|connection| connection.closed_at().is_none()) {
             return Some(connection);
         }
@@ -84,7 +101,7 @@
         let connected =
             Caller::connect(&self.executor, &self.record, &name, proxy, supervised.listen()).await;
         let connection = Rc::new(connected.ok()?);
-        self.pools[proxy].connections.borrow_mut()[caller] = Some(connection.clone());
+        self.pools[proxy].callers.borrow_mut()[caller].set_current(connection.clone());
         Some(connection)
     }
 
--- a/crates/soak/tests/judge.rs
+++ b/crates/soak/tests/judge.rs
@@ -362,6 +362,10 @@
     assert_keeps_all(record_with(vec![closed(), released, exit(4.1)]));
     assert_keeps_all(record_with(vec![closed(), trial(2.5, Observation::Killed)]));
     assert_keeps_all(record_with(vec![entry(2.0, "c", "", Observation::CallerDisconnected), exit(3.5)]));
+    // The caller itself leaves after the proxy has closed the connection: what is due later can't be delivered.
+    let leaves = |at| entry(at, "c", "", Observation::CallerDisconnected);
+    assert_keeps_all(record_with(vec![closed(), leaves(2.5)]));
+    assert_eq!(sorted(vec![closed(), leaves(4.2)]), both[..1], "a release was due before");
 }
 
 #[test]
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -158,12 +158,13 @@
         self.writer.lock().await.write_all(bytes).await
     }
 
-    /// Closes the connection; pending set-ups on it are given up.
+    /// Closes the connection; pending set-ups on it are given up. Also recorded if the proxy has closed it before: from
+    /// now on the caller would not have had it anyway.
     pub fn close(&self) {
         for call_id in std::mem::take(&mut *self.state.pending.borrow_mut()).into_keys() {
             self.record.add(&self.name, self.proxy, &call_id, Observation::GaveUp);
         }
-        if self.state.closed_at.get().is_none() && !self.state.closed_by_caller.replace(true) {
+        if !self.state.closed_by_caller.replace(true) {
             self.record.add(&self.name, self.proxy, "", Observation::CallerDisconnected);
         }
         let _ = self.stream.shutdown(Shutdown::Both);
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -34,7 +34,7 @@
     CallerListens,
     /// A caller's connection was established.
     CallerConnected,
-    /// A caller closed its connection.
+    /// A caller closed its connection, or would have if the proxy had not done so before.
     CallerDisconnected,
     /// The proxy closed a caller's connection, or its process ended.
     DisconnectedByProxy,
