--- a/src/net/conn.rs
+++ b/src/net/conn.rs
@@ -10,27 +10,26 @@
 mod buffers;
 mod reader;
 
-use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::Shutdown;
 use std::rc::Rc;
-use std::time::Duration;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
 
 use smol::channel::{bounded, Receiver, Sender};
-use smol::io::AsyncWriteExt;
 use smol::net::TcpStream;
+use smol::Async;
 
 pub use self::buffers::ConnectionBuffers;
 use self::buffers::{OwedMessage, SendQueue};
 use self::reader::Reader;
 pub use self::reader::{QueuedFrame, ReadLimits};
 use super::{with_timeout, Executor};
+use crate::limits::slow_reader::PATIENCE;
 use crate::sip::message::{Frame, FramingError, MalformedMessage, Message};
 use crate::telemetry;
 
-/// Length of a send queue, in bytes, beyond which a connection is closed because its peer reads too slowly.
-const MAX_QUEUED_BYTES: usize = 64 * 1024;
-/// Time limit of one write. A connection whose peer reads too little for so long is closed.
+/// A connection whose peer reads nothing for so long, while something waits for it, is closed.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// What a connection reports to its owner.
@@ -87,7 +86,7 @@
     fn drop(&mut self) {
         self.buffers.all.borrow_mut().remove(&self.number);
         if self.send_queue.half_closing.get() {
-            let _ = self.send_queue.stream.shutdown(Shutdown::Both);
+            let _ = self.send_queue.socket.get_ref().shutdown(Shutdown::Both);
         }
     }
 }
@@ -104,23 +103,14 @@
     ) -> ConnectionHandle {
         // Sends small messages without delay. If the option can't be set, they are only delayed.
         let _ = stream.set_nodelay(true);
-        let send_queue = Rc::new(SendQueue {
-            stream: stream.clone(),
-            pending: RefCell::default(),
-            queued_bytes: Cell::new(0),
-            queued_in_all: Cell::new(0),
-            written_in_all: Cell::new(0),
-            owed: RefCell::default(),
-            carries_calls: Cell::new(false),
-            half_closing: Cell::new(false),
-            aborted: Cell::new(false),
-        });
+        let socket: Arc<Async<std::net::TcpStream>> = stream.into();
+        let send_queue = SendQueue::new(socket.clone());
         let number = buffers.register(&send_queue);
         let (wake, wake_ups) = bounded(1);
         tasks.spawn("writer", write(buffers.clone(), send_queue.clone(), wake_ups));
         let reader =
             Reader { buffers: buffers.clone(), send_queue: send_queue.clone(), connection: number, limits };
-        tasks.spawn("reader", reader.run(stream, mailbox, wrap));
+        tasks.spawn("reader", reader.run(socket, mailbox, wrap));
         ConnectionHandle { buffers: buffers.clone(), send_queue, number, wake }
     }
 
@@ -137,38 +127,31 @@
         self.wake.close();
     }
 
-    /// Queues a message without waiting; returns false if the connection is closing. A connection whose queue is too
-    /// long is closed, so that one slow peer delays no other.
+    /// Queues a message without waiting; returns false if the connection is closing.
     pub fn write(&self, message: &Message) -> bool {
         if self.is_closing() {
             return false;
         }
-        if self.send_queue.limited_bytes() > MAX_QUEUED_BYTES {
-            telemetry::queue_limit_exceeded("one queue");
-            self.buffers.abort_queue(&self.send_queue, "its send queue is too long");
-            return false;
-        }
         let length = self.send_queue.append(message);
         self.wake_writer(length);
         true
     }
 
-    /// Queues a message that an established call is owed, whatever the length of the queue; returns false if the
-    /// connection is closing. If it can't be written, [`ConnectionHandle::take_undelivered`] returns it.
+    /// Queues a message that a call is owed; gives it back if the connection is closing. If it can't be written, [`ConnectionHandle::take_undelivered`] returns it.
     pub fn write_owed(&self, message: Message) -> Result<(), Message> {
         if self.is_closing() {
             return Err(message);
         }
         let length = self.send_queue.append(&message);
         let written_at = self.send_queue.queued_in_all.get();
-        self.send_queue.owed.borrow_mut().push_back(OwedMessage { message, length, written_at });
+        self.send_queue.owed.borrow_mut().push_back(OwedMessage { message, written_at });
         self.wake_writer(length);
         Ok(())
     }
 
     /// Number of bytes that wait to be written.
     pub fn queued_bytes(&self) -> usize {
-        self.send_queue.queued_bytes.get()
+        self.send_queue.queued_bytes()
     }
 
     /// Takes the owed messages that were not written, once the connection has ended.
@@ -181,38 +164,49 @@
         self.wake.is_closed() || self.send_queue.aborted.get()
     }
 
-    /// Counts queued bytes and wakes the writer.
+    /// Counts queued bytes and wakes the writer. A long queue is first written as far as the socket takes it: the writer
+    /// may not have run since the last message.
     fn wake_writer(&self, added: usize) {
-        self.buffers.adjust(&self.send_queue, added, 0);
+        self.buffers.count_queued(added);
+        if self.send_queue.is_long() {
+            self.buffers.flush(&self.send_queue);
+        }
         // If a wake-up is already queued, it covers this message as well.
         let _ = self.wake.try_send(());
         self.buffers.enforce_limit();
     }
 }
 
-/// The writer: sends what is queued until the handle is dropped or a write fails.
+/// The writer: sends what is queued until the handle is dropped, a write fails or the peer reads too little.
 async fn write(buffers: Rc<ConnectionBuffers>, send_queue: Rc<SendQueue>, wake_ups: Receiver<()>) {
-    let mut stream = send_queue.stream.clone();
+    let socket = send_queue.socket.clone();
+    let mut last_progress = Instant::now();
     loop {
-        let bytes = std::mem::take(&mut *send_queue.pending.borrow_mut());
-        if bytes.is_empty() {
-            if wake_ups.recv().await.is_err() && send_queue.pending.borrow().is_empty() {
+        if send_queue.queued_bytes() == 0 {
+            if wake_ups.recv().await.is_err() && send_queue.queued_bytes() == 0 {
                 break;
             }
+            last_progress = Instant::now();
             continue;
         }
-        let written = with_timeout(WRITE_TIMEOUT, stream.write_all(&bytes)).await;
-        buffers.adjust(&send_queue, 0, bytes.len());
-        if written.is_ok() {
-            send_queue.record_written(bytes.len());
-        } else {
-            let pending = std::mem::take(&mut *send_queue.pending.borrow_mut()).len();
-            buffers.adjust(&send_queue, 0, pending);
-            send_queue.aborted.set(true);
-            // The connection has failed: later writes are refused.
-            wake_ups.close();
-            break;
+        let writing = socket.write_with(|socket| buffers.write_some(&send_queue, socket));
+        let written = with_timeout(PATIENCE, writing).await;
+        let now = Instant::now();
+        match written {
+            Ok(_) => last_progress = now,
+            Err(error) if error.kind() == io::ErrorKind::TimedOut && now - last_progress < WRITE_TIMEOUT => {}
+            Err(_) => {
+                buffers.drop_queued(&send_queue);
+                // The connection has failed: later writes are refused.
+                wake_ups.close();
+                break;
+            }
+        }
+        if send_queue.is_read_too_slowly(now) {
+            telemetry::queue_limit_exceeded("one queue");
+            buffers.abort_queue(&send_queue, "its peer reads too slowly");
         }
     }
-    let _ = stream.shutdown(if send_queue.half_closing.get() { Shutdown::Write } else { Shutdown::Both });
+    let half = if send_queue.half_closing.get() { Shutdown::Write } else { Shutdown::Both };
+    let _ = socket.get_ref().shutdown(half);
 }
--- a/src/net/conn/reader.rs
+++ b/src/net/conn/reader.rs
@@ -7,7 +7,6 @@
 use std::time::{Duration, Instant};
 
 use smol::channel::Sender;
-use smol::net::TcpStream;
 use smol::{future, Async, Timer};
 
 use super::buffers::{ConnectionBuffers, SendQueue};
@@ -22,8 +21,8 @@
 const MAX_UNHANDLED_MESSAGES: usize = 4;
 /// Bytes read per system call.
 const READ_CHUNK_BYTES: usize = 4096;
-/// Pause before a reader looks again whether there is memory for what its socket holds.
-const MEMORY_RETRY_DELAY: Duration = Duration::from_millis(2);
+/// Pause before a reader looks again whether it may read what its socket holds.
+const RETRY_DELAY: Duration = Duration::from_millis(2);
 
 /// The number of short messages whose place a message takes.
 fn weight(frame: &Frame) -> usize {
@@ -33,8 +32,8 @@
 /// What one attempt to read has brought.
 enum Progress {
     Bytes(usize),
-    /// There is no memory for more at present.
-    NoMemory,
+    /// There is no memory for more at present, or the peer has to read first.
+    Wait,
 }
 
 /// The memory and the turn of a frame that waits in a mailbox. Both are given back when it is dropped.
@@ -61,6 +60,9 @@
     pub message_timeout: Duration,
     /// The long messages that all connections of one mailbox may have in it.
     pub long_messages: Turns,
+    /// The peer has to read what waits for it before more of its messages are read, so that its requests can't make a
+    /// long queue longer.
+    pub waits_for_peer: bool,
 }
 
 /// The reading side of one connection.
@@ -81,11 +83,10 @@
     /// Reads until the connection ends or its owner does.
     pub(super) async fn run<M>(
         self,
-        stream: TcpStream,
+        stream: Arc<Async<std::net::TcpStream>>,
         mailbox: Sender<M>,
         wrap: impl Fn(ConnectionEvent) -> M,
     ) {
-        let stream: Arc<Async<std::net::TcpStream>> = stream.into();
         let mut framer = Framer::default();
         let turns = Turns::new(MAX_UNHANDLED_MESSAGES);
         let mut message_started = None;
@@ -123,7 +124,7 @@
             loop {
                 match stream.read_with(|socket| self.try_read(socket, framer)).await? {
                     Progress::Bytes(n) => return Ok(n),
-                    Progress::NoMemory => Timer::after(MEMORY_RETRY_DELAY).await,
+                    Progress::Wait => Timer::after(RETRY_DELAY).await,
                 };
             }
         };
@@ -148,14 +149,17 @@
     /// Reads the available bytes if there is memory for them. They are read to the stack, so that an idle connection
     /// holds no buffer.
     fn try_read(&self, mut socket: &std::net::TcpStream, framer: &mut Framer) -> io::Result<Progress> {
+        if self.limits.waits_for_peer && self.send_queue.is_long() {
+            return Ok(Progress::Wait);
+        }
         let admission = self.buffers.inbound.borrow().admit(self.connection, READ_CHUNK_BYTES);
         match admission {
             Admission::Granted => {}
-            Admission::Wait => return Ok(Progress::NoMemory),
+            Admission::Wait => return Ok(Progress::Wait),
             Admission::AfterClosing(victim) => {
                 telemetry::queue_limit_exceeded("received data");
                 self.buffers.abort(victim, "received data exceeds its memory budget");
-                return Ok(Progress::NoMemory);
+                return Ok(Progress::Wait);
             }
         }
         let mut bytes = [0; READ_CHUNK_BYTES];
--- a/src/net/peer/connections.rs
+++ b/src/net/peer/connections.rs
@@ -80,8 +80,11 @@
         self.next_connection_id += 1;
         let connection_id = self.next_connection_id;
         let wrap = move |event| PeerActorMessage::Connection(connection_id, event);
-        let limits =
-            ReadLimits { message_timeout: MESSAGE_TIMEOUT, long_messages: Turns::for_long_messages() };
+        let limits = ReadLimits {
+            message_timeout: MESSAGE_TIMEOUT,
+            long_messages: Turns::for_long_messages(),
+            waits_for_peer: false,
+        };
         let (tasks, buffers) = (&self.context.tasks, &self.context.buffers);
         let handle = ConnectionHandle::open(tasks, buffers, stream, self.own_mailbox.clone(), limits, wrap);
         handle.mark_carries_calls();
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -262,6 +262,7 @@
         let limits = ReadLimits {
             message_timeout: Duration::from_secs_f64(MESSAGE_TIMEOUT),
             long_messages: self.long_messages.clone(),
+            waits_for_peer: true,
         };
         let (tasks, buffers) = (&self.front.tasks, &self.front.buffers);
         let handle = ConnectionHandle::open(tasks, buffers, stream, self.front.mailbox.clone(), limits, wrap);
--- a/src/net/sip.rs
+++ b/src/net/sip.rs
@@ -188,9 +188,10 @@
     }
 }
 
-/// Whether an established call or an ended set-up owes a message to the other side.
+/// Whether a call owes a message to the other side: what ends it, and its final answer.
 fn is_owed(message: &Message) -> bool {
-    matches!(message.method(), Some("BYE" | "ACK" | "CANCEL"))
+    let is_final_answer = message.status().is_some_and(|status| status >= 200);
+    is_final_answer || matches!(message.method(), Some("BYE" | "ACK" | "CANCEL"))
 }
 
 fn tcp(addr: SocketAddr) -> Hop {
@@ -216,7 +217,7 @@
                     );
                     return;
                 }
-                let connection_id = self.open(now, addr, stream);
+                let connection_id = self.open(now, addr, stream, true);
                 self.close_later_if_useless(addr, connection_id);
             }
             SipFrontMessage::CheckUseful(addr, connection_id) => {
@@ -228,7 +229,7 @@
             }
             SipFrontMessage::Connected(addr, Ok(stream)) => {
                 let waiting = self.connecting.remove(&addr).unwrap_or_default();
-                self.open(now, addr, stream);
+                self.open(now, addr, stream, false);
                 for message in waiting {
                     self.write(addr, &message);
                 }
@@ -333,12 +334,15 @@
         self.front.tasks.spawn("check of a SIP connection", check);
     }
 
-    fn open(&mut self, now: Time, addr: SocketAddr, stream: TcpStream) -> u64 {
+    fn open(&mut self, now: Time, addr: SocketAddr, stream: TcpStream, is_accepted: bool) -> u64 {
         self.next_connection_id += 1;
         let connection_id = self.next_connection_id;
         let wrap = move |event| SipFrontMessage::Connection(addr, connection_id, event);
-        let limits =
-            ReadLimits { message_timeout: MESSAGE_TIMEOUT, long_messages: self.long_messages.clone() };
+        let limits = ReadLimits {
+            message_timeout: MESSAGE_TIMEOUT,
+            long_messages: self.long_messages.clone(),
+            waits_for_peer: is_accepted,
+        };
         let (tasks, buffers) = (&self.front.tasks, &self.front.buffers);
         let handle = ConnectionHandle::open(tasks, buffers, stream, self.front.mailbox.clone(), limits, wrap);
         let connection = SipConnection { id: connection_id, handle, useful: false, last_active: now };
@@ -347,12 +351,7 @@
     }
 
     fn write(&mut self, addr: SocketAddr, message: &Message) -> bool {
-        let Some(connection) = self.connections.get(&addr) else { return false };
-        if is_owed(message) {
-            connection.handle.write_owed(message.clone()).is_ok()
-        } else {
-            connection.handle.write(message)
-        }
+        self.connections.get(&addr).is_some_and(|connection| connection.handle.write(message))
     }
 
     fn handle_connection_event(
--- a/tests/connections.rs
+++ b/tests/connections.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use mallowring::limits::slow_reader::{ReadingProgress, LONG_QUEUE_BYTES, PATIENCE};
 use mallowring::net::conn::{CloseReason, ConnectionBuffers, ConnectionEvent, ConnectionHandle, ReadLimits};
 use mallowring::net::turns::Turns;
 use mallowring::net::{supervision, Executor};
@@ -12,13 +13,24 @@
 
 /// Opens a connection with a send queue; the peer's end does not read.
 async fn open(tasks: &Executor) -> (ConnectionHandle, Receiver<ConnectionEvent>, TcpStream) {
+    open_with(tasks, 1 << 20).await
+}
+
+/// The same with a limit in bytes for what waits to be written.
+async fn open_with(
+    tasks: &Executor,
+    outbound: usize,
+) -> (ConnectionHandle, Receiver<ConnectionEvent>, TcpStream) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let stream = TcpStream::connect(listener.local_addr().expect("bound")).await.expect("it listens");
     let (peer, _) = listener.accept().await.expect("connected");
     let (mailbox, events) = unbounded();
-    let queues = ConnectionBuffers::new(1 << 20, 1 << 20);
-    let limits =
-        ReadLimits { message_timeout: Duration::from_secs(1), long_messages: Turns::for_long_messages() };
+    let queues = ConnectionBuffers::new(outbound, 1 << 20);
+    let limits = ReadLimits {
+        message_timeout: Duration::from_secs(1),
+        long_messages: Turns::for_long_messages(),
+        waits_for_peer: true,
+    };
     let handle = ConnectionHandle::open(tasks, &queues, stream, mailbox, limits, |event| event);
     (handle, events, peer)
 }
@@ -102,3 +114,102 @@
     });
     run.expect("no task panicked");
 }
+
+/// Length in bytes of a long answer, and number of those that come in one burst.
+const LONG_ANSWER_BYTES: usize = 15_000;
+const BURST: usize = 200;
+
+fn long_answer() -> Message {
+    let mut answer = Message::request("INVITE", "sip:1@net").with("Call-ID", "1").with("CSeq", "1 INVITE");
+    answer.body = vec![b'x'; LONG_ANSWER_BYTES];
+    answer
+}
+
+/// Guards against the close of a connection because much was answered at once: the writer had not run yet, the peer read at
+/// once, and its set-ups never got their answers (review, case 8).
+#[test]
+fn a_burst_of_long_answers_reaches_a_peer_that_reads() {
+    let run = supervision::run(async |tasks| {
+        let (handle, _events, mut peer) = open_with(&tasks, 8 << 20).await;
+        for _ in 0..BURST {
+            assert!(handle.write(&long_answer()), "the connection is open");
+        }
+        let mut expected = BURST * long_answer().to_bytes().len();
+        let mut bytes = vec![0; 64 * 1024];
+        while expected > 0 {
+            let n = peer.read(&mut bytes).await?;
+            assert!(n > 0, "{expected} bytes have not arrived");
+            expected -= n;
+        }
+        Ok(())
+    });
+    run.expect("no task panicked");
+}
+
+/// Guards against a peer whose socket stays full and that keeps its connection, and with it memory.
+#[test]
+fn a_peer_that_never_reads_loses_its_connection_within_the_patience() {
+    let run = supervision::run(async |tasks| {
+        let (handle, events, _peer) = open_with(&tasks, 64 << 20).await;
+        let started = std::time::Instant::now();
+        // The buffers of the kernel grow for some time.
+        while handle.write(&long_answer()) {
+            let is_long = handle.queued_bytes() > 2 * LONG_QUEUE_BYTES;
+            smol::Timer::after(Duration::from_micros(if is_long { 20_000 } else { 200 })).await;
+        }
+        let end = events.recv().await.expect("the reader reports the end");
+        assert!(matches!(end, ConnectionEvent::Ended(CloseReason::ClosedLocally)), "{end:?}");
+        let took = started.elapsed();
+        assert!(took >= PATIENCE && took < 2 * PATIENCE + Duration::from_secs(1), "{took:?}");
+        Ok(())
+    });
+    run.expect("no task panicked");
+}
+
+/// Guards against a slow reader that is taken for a fast one, and the other way round: what counts is how much it reads in
+/// the time, not the length of its queue at one moment.
+#[test]
+fn a_reader_is_slow_only_if_its_queue_stays_long() {
+    let start = std::time::Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let long = 10 * LONG_QUEUE_BYTES;
+    let patience = PATIENCE.as_millis() as u64;
+    let mut reads_nothing = ReadingProgress::default();
+    assert!(!reads_nothing.is_too_slow(at(0), long, 7));
+    assert!(!reads_nothing.is_too_slow(at(patience - 1), long, 7 + LONG_QUEUE_BYTES as u64 - 1));
+    assert!(reads_nothing.is_too_slow(at(patience), long, 7 + LONG_QUEUE_BYTES as u64 - 1));
+    let mut reads_enough = ReadingProgress::default();
+    for step in 0..20 {
+        assert!(!reads_enough.is_too_slow(at(step * patience), long, step * LONG_QUEUE_BYTES as u64));
+    }
+    let mut short_between = ReadingProgress::default();
+    assert!(!short_between.is_too_slow(at(0), long, 0));
+    assert!(!short_between.is_too_slow(at(1), LONG_QUEUE_BYTES, 0));
+    assert!(!short_between.is_too_slow(at(patience), long, 0));
+}
+
+/// Guards against a client that sends and never reads: its requests are not read any more, so that their answers can't
+/// fill memory.
+#[test]
+fn a_peer_that_does_not_read_is_not_read_either() {
+    let run = supervision::run(async |tasks| {
+        let (handle, events, mut peer) = open_with(&tasks, 64 << 20).await;
+        while handle.queued_bytes() <= 2 * LONG_QUEUE_BYTES {
+            assert!(handle.write(&long_answer()));
+            smol::future::yield_now().await;
+        }
+        smol::io::AsyncWriteExt::write_all(&mut peer, &release(1).to_bytes()).await?;
+        smol::Timer::after(Duration::from_millis(300)).await;
+        assert!(events.is_empty(), "a request was read");
+        let mut bytes = vec![0; 64 * 1024];
+        let read_all = async {
+            while peer.read(&mut bytes).await? > 0 {}
+            Err(std::io::ErrorKind::UnexpectedEof.into())
+        };
+        let next_event = async { events.recv().await.map_err(std::io::Error::other) };
+        let event = smol::future::or(next_event, read_all).await?;
+        assert!(matches!(event, ConnectionEvent::Received(_)), "{event:?}");
+        Ok(())
+    });
+    run.expect("no task panicked");
+}
