A release or final response that a lost SIP connection swallows is sent again

Cause: over TCP a request is sent once. The BYE's transaction waited under the Contact, the loss was reported under the address of the connection that had carried it, and a failed transaction sends nothing.

Change: a client transaction knows both hops that may have carried its request. A BYE is sent again when one is lost: at once, then at growing intervals until its transaction ends. A final response to INVITE whose ACK has not come goes to the address in its Via (RFC 3261, 18.2.2). A refused connection is a failure of its own.

The test of the transaction budget now builds its requests as they are received: sizes count allocations since, and those of a message that was built by hand differ from call to call. It checks the same.

--- a/src/sip/agent/callers.rs
+++ b/src/sip/agent/callers.rs
@@ -235,15 +235,10 @@
         let (hop, fallback) = dialog.next_hop();
         let via = self.via(hop.transport);
         let bye = dialog.next_request("BYE", &via).with("Reason", format_args!("Q.850;cause={cause}"));
-        let mut sent = Vec::new();
-        self.with_transactions(&mut sent, |transactions, outputs| {
-            transactions.send_request(now, hop, bye, outputs)
-        });
         // The first copy may use the connection on which the dialog was established.
-        out.extend(sent.into_iter().map(|output| match output {
-            AgentOutput::Send(hop, _, message) => AgentOutput::Send(hop, fallback, message),
-            other => other,
-        }));
+        self.with_transactions(out, |transactions, outputs| {
+            transactions.send_request_with_fallback(now, hop, fallback, bye, outputs)
+        });
     }
 
     /// Sends the response or release that the call table has for a caller.
--- a/src/sip/agent/exchanges.rs
+++ b/src/sip/agent/exchanges.rs
@@ -228,7 +228,7 @@
         let end = match failure {
             TransactionFailure::Timeout => AttemptEnd::TimedOut,
             TransactionFailure::ConnectionLost => AttemptEnd::ConnectionEnded,
-            TransactionFailure::Unreachable => AttemptEnd::NeverSent,
+            TransactionFailure::Unreachable | TransactionFailure::Refused => AttemptEnd::NeverSent,
         };
         let (leg, cause, report) = (Some(leg), Cause::Unspecified, LoadReport::default());
         out.push(AgentOutput::CallTable(CallEvent::SetUpFailed { id, exchange, leg, end, cause, report }));
--- a/src/sip/transaction.rs
+++ b/src/sip/transaction.rs
@@ -54,6 +54,8 @@
     Timeout,
     /// No connection could be made, so nothing was sent.
     Unreachable,
+    /// A connection was refused, so nothing was sent: no process listens there.
+    Refused,
     /// The connection was lost.
     ConnectionLost,
 }
@@ -110,6 +112,10 @@
 #[derive(Debug)]
 struct ClientTransaction {
     hop: Hop,
+    /// The hop whose connection may have carried the request instead.
+    fallback: Option<Hop>,
+    /// A connection that may have carried it was lost.
+    connection_lost: bool,
     state: State,
     /// Whether a provisional response was received.
     provisional_received: bool,
@@ -385,9 +391,21 @@
         hop: Hop,
         request: Message,
         out: &mut Vec<TransactionOutput>,
+    ) -> Option<TransactionKey> {
+        self.send_request_with_fallback(now, hop, None, request, out)
+    }
+
+    /// The same with a hop whose connection is used for the first copy if there is none to the first hop.
+    pub fn send_request_with_fallback(
+        &mut self,
+        now: Time,
+        hop: Hop,
+        fallback: Option<Hop>,
+        request: Message,
+        out: &mut Vec<TransactionOutput>,
     ) -> Option<TransactionKey> {
         let key = client_key(&request)?;
-        out.push(TransactionOutput::Send(hop, None, request.clone()));
+        out.push(TransactionOutput::Send(hop, fallback, request.clone()));
         let (end, mut retransmit_at) = (now + TRANSACTION_TIMEOUT, None);
         if hop.transport == Transport::Udp {
             retransmit_at = Some(now + T1);
@@ -396,6 +414,8 @@
         out.push(TransactionOutput::StartTimer(end, TransactionTimer::Client(key.clone())));
         let client = ClientTransaction {
             hop,
+            fallback,
+            connection_lost: false,
             state: State::Proceeding,
             provisional_received: false,
             cancelled: false,
@@ -512,15 +532,34 @@
                     if key.method != "INVITE" {
                         client.retransmit_interval = client.retransmit_interval.min(T2);
                     }
-                    let at = now + client.retransmit_interval;
-                    client.retransmit_at = Some(at);
-                    out.push(TransactionOutput::StartTimer(at, TransactionTimer::Client(key)));
+                    client.retransmit_at = None;
+                    // Over TCP only the next failure of a connection causes another copy.
+                    if client.hop.transport == Transport::Udp {
+                        let at = now + client.retransmit_interval;
+                        client.retransmit_at = Some(at);
+                        out.push(TransactionOutput::StartTimer(at, TransactionTimer::Client(key)));
+                    }
                 }
             }
         }
     }
 
-    /// Handles a connection that was lost or could not be made: client transactions waiting on it fail.
+    /// Sends final responses to INVITE again whose ACK has not arrived on a connection that was lost, to the address in
+    /// the Via of the request (RFC 3261, section 18.2.2).
+    fn resend_final_responses(&mut self, lost: Hop, out: &mut Vec<TransactionOutput>) {
+        for (key, server) in &mut self.servers {
+            let is_unconfirmed = key.method == "INVITE" && server.state == State::Completed;
+            if server.hop != lost || !is_unconfirmed {
+                continue;
+            }
+            let Some(fallback) = server.fallback.take() else { continue };
+            let response = server.last_response.clone();
+            out.extend(response.map(|response| TransactionOutput::Send(fallback, None, response)));
+        }
+    }
+
+    /// Handles a connection that was lost or could not be made. A release that may have waited on it is sent again; other
+    /// client transactions that waited on it fail.
     /// Server transactions do not depend on their connection, because their responses can take another one.
     pub fn on_connection_failed(
         &mut self,
@@ -529,8 +568,14 @@
         failure: TransactionFailure,
         out: &mut Vec<TransactionOutput>,
     ) {
+        self.resend_final_responses(hop, out);
         for (key, client) in &mut self.clients {
-            if client.hop != hop || client.state != State::Proceeding {
+            let is_concerned = client.hop == hop || client.fallback == Some(hop);
+            if !is_concerned || client.state != State::Proceeding || client.outcome_reported {
+                continue;
+            }
+            if key.method == "BYE" {
+                client.resend(now, key, out);
                 continue;
             }
             // The transaction is kept for a final response that may still arrive.
@@ -546,6 +591,19 @@
     }
 }
 
+impl ClientTransaction {
+    /// Sends a release again whose connection was lost or could not be made: at once the first time, then at growing
+    /// intervals. Nothing else repeats it over TCP.
+    fn resend(&mut self, now: Time, key: &TransactionKey, out: &mut Vec<TransactionOutput>) {
+        if !std::mem::replace(&mut self.connection_lost, true) {
+            return out.push(TransactionOutput::Send(self.hop, None, self.request.clone()));
+        }
+        let at = now + self.retransmit_interval;
+        self.retransmit_at = Some(at);
+        out.push(TransactionOutput::StartTimer(at, TransactionTimer::Client(key.clone())));
+    }
+}
+
 /// Returns the key under which a client transaction handles its request and the responses.
 fn client_key(message: &Message) -> Option<TransactionKey> {
     let branch = Via::parse(message.get("Via")?)?.branch?.to_owned();
--- a/tests/sip_transactions.rs
+++ b/tests/sip_transactions.rs
@@ -241,3 +241,59 @@
         ["400"]
     );
 }
+
+/// Guards against a release that a lost connection swallows: over TCP nothing else repeats it. Whichever of its two
+/// connections is lost, it is sent again at once, and at growing intervals while no connection can be made.
+#[test]
+fn a_release_is_sent_again_when_its_connection_is_lost() {
+    for lost in [7000, 40_000] {
+        let mut harness = Harness::new();
+        let (contact, source) = (hop(Transport::Tcp, 7000), hop(Transport::Tcp, 40_000));
+        let bye = request("BYE", Transport::Tcp);
+        let sent = bye.clone();
+        harness.run(|layer, now, out| {
+            layer.send_request_with_fallback(now, contact, Some(source), sent, out);
+        });
+        let mut fail = |harness: &mut Harness, port, failure| {
+            harness.run(|layer, now, out| {
+                layer.on_connection_failed(now, hop(Transport::Tcp, port), failure, out)
+            })
+        };
+        let again = [TransactionOutput::Send(contact, None, bye.clone())];
+        assert_eq!(fail(&mut harness, lost, TransactionFailure::ConnectionLost), again);
+        for interval in [0.5, 1.0, 2.0] {
+            assert_eq!(fail(&mut harness, 7000, TransactionFailure::Refused), []);
+            let out = harness.advance(interval + 0.1);
+            assert!(
+                matches!(&out[..], [(at, output)] if (at - interval).abs() < 1e-6 && *output == again[0])
+            );
+        }
+        harness.receive(contact, &Message::response(200, "OK", &bye.headers));
+        assert_eq!(fail(&mut harness, 7000, TransactionFailure::ConnectionLost), [], "it is confirmed");
+    }
+}
+
+/// Guards against a refusal of a set-up that a lost connection swallows: it is sent to the address in the Via, unless its
+/// ACK had arrived.
+#[test]
+fn a_final_response_is_sent_again_when_its_connection_is_lost_before_the_ack() {
+    for confirmed in [false, true] {
+        let mut harness = Harness::new();
+        let (source, sent_by) = (hop(Transport::Tcp, 40_000), hop(Transport::Tcp, 7000));
+        let invite = request("INVITE", Transport::Tcp);
+        let out = harness.receive(source, &invite);
+        let key = out.iter().find_map(|output| match output {
+            TransactionOutput::Request(key, ..) => Some(key.clone()),
+            _ => None,
+        });
+        harness.respond(&key.expect("it is passed on"), 480, &invite);
+        if confirmed {
+            harness.receive(source, &request("ACK", Transport::Tcp));
+        }
+        let out = harness.run(|layer, now, out| {
+            layer.on_connection_failed(now, source, TransactionFailure::ConnectionLost, out)
+        });
+        let is_again = |output: &TransactionOutput| matches!(output, TransactionOutput::Send(hop, None, m) if *hop == sent_by && m.status() == Some(480));
+        assert_eq!(out.iter().filter(|output| is_again(output)).count(), usize::from(!confirmed), "{out:?}");
+    }
+}
--- a/tests/transaction_budget.rs
+++ b/tests/transaction_budget.rs
@@ -17,13 +17,15 @@
     Hop { transport: Transport::Tcp, addr: ([127, 0, 0, 1], port).into() }
 }
 
+/// A request as it is received: its memory is that of a parsed message.
 fn request(method: &str, number: usize) -> Message {
-    Message::request(method, "sip:50211@127.0.0.1:5060")
+    let request = Message::request(method, "sip:50211@127.0.0.1:5060")
         .with("Via", format!("SIP/2.0/TCP 127.0.0.1:7000;branch=z9hG4bK{method}{number:06}"))
         .with("From", "<sip:a@coop>;tag=a")
         .with("To", "<sip:50211@127.0.0.1>")
         .with("Call-ID", format!("c-{number:06}"))
-        .with("CSeq", format!("1 {method}"))
+        .with("CSeq", format!("1 {method}"));
+    Message::parse_datagram(&request.to_bytes()).expect("it is valid")
 }
 
 /// A layer with room for [`LIMIT`] transactions, and for a bit less than one more.
