--- a/src/membership/liveness.rs
+++ b/src/membership/liveness.rs
@@ -287,6 +287,17 @@
         self.counts_our_calls |= self.circuits_in_use.is_some() && !self.counts_too_few();
     }
 
+    /// Records that the process at the other end of a connection has confirmed that it holds a call, in answer to a question
+    /// that was sent at this time. That proves which process holds the call, whichever did before.
+    pub fn call_confirmed(&mut self, asked: Time, connection: u64, call: &CallId) {
+        let Some(process) = self.connections.get(&connection).map(|c| c.process) else { return };
+        let Some(call) = self.calls.get_mut(call) else { return };
+        let before = std::mem::replace(&mut call.process, process);
+        self.renew_lease(process, asked);
+        self.heard_again.remove(&process);
+        self.remove_if_unused(before);
+    }
+
     /// Records that a call has ended, from either side.
     pub fn call_ended(&mut self, call: &CallId) {
         if let Some(call) = self.calls.remove(call) {
--- a/src/net/sip.rs
+++ b/src/net/sip.rs
@@ -230,6 +230,7 @@
             SipFrontMessage::Connected(addr, Ok(stream)) => {
                 let waiting = self.connecting.remove(&addr).unwrap_or_default();
                 self.open(now, addr, stream, false);
+                self.agent.on_connection_opened(now, tcp(addr));
                 for message in waiting {
                     self.write(addr, &message);
                 }
@@ -237,7 +238,11 @@
             SipFrontMessage::Connected(addr, Err(error)) => {
                 tracing::info!(%addr, %error, "opening a SIP connection failed");
                 self.connecting.remove(&addr);
-                self.agent.on_connection_failed(now, tcp(addr), TransactionFailure::Unreachable, outputs);
+                let failure = match error.kind() {
+                    std::io::ErrorKind::ConnectionRefused => TransactionFailure::Refused,
+                    _ => TransactionFailure::Unreachable,
+                };
+                self.agent.on_connection_failed(now, tcp(addr), failure, outputs);
             }
             SipFrontMessage::Connection(addr, connection_id, event) => {
                 if self.connections.get(&addr).is_some_and(|connection| connection.id == connection_id) {
--- a/src/sip/agent.rs
+++ b/src/sip/agent.rs
@@ -4,10 +4,12 @@
 
 mod callers;
 mod exchanges;
+mod liveness;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
+use self::liveness::{ExchangeWatch, Probe};
 use super::dialog::{Dialog, DialogId};
 use super::header::{self, Hop, Transport};
 use super::message::Message;
@@ -83,6 +85,8 @@
     Transaction(transaction::TransactionTimer),
     /// Retransmits the 2xx response to a caller unless its ACK was received.
     RetransmitSuccess(CallId),
+    /// Checks whether an exchange still holds its calls.
+    CheckExchange(ExchangeId),
 }
 
 /// An action that the agent requests.
@@ -150,6 +154,10 @@
     attempts_by_client_key: BTreeMap<TransactionKey, Attempt>,
     attempts_by_dialog: BTreeMap<DialogId, Attempt>,
     circuits_in_use: BTreeMap<ExchangeId, u32>,
+    /// What is known of the life of each exchange.
+    watches: BTreeMap<ExchangeId, ExchangeWatch>,
+    /// The questions to exchanges whether they hold a call, by their client transactions.
+    probes: BTreeMap<TransactionKey, Probe>,
     /// An empty buffer for outputs of the transaction layer, kept to reuse its memory.
     pending_outputs: Vec<TransactionOutput>,
 }
@@ -168,6 +176,8 @@
             attempts_by_client_key: BTreeMap::new(),
             attempts_by_dialog: BTreeMap::new(),
             circuits_in_use: BTreeMap::new(),
+            watches: BTreeMap::new(),
+            probes: BTreeMap::new(),
             pending_outputs: Vec::new(),
         }
     }
@@ -183,6 +193,7 @@
 
     /// Handles a received message.
     pub fn receive(&mut self, now: Time, from: Hop, message: Message, out: &mut Vec<AgentOutput>) {
+        self.record_activity(now, from);
         let mut outputs = std::mem::take(&mut self.pending_outputs);
         let kind = self.request_kind(&message);
         self.transactions.receive(now, from, kind, message, &mut outputs);
@@ -239,6 +250,7 @@
                 self.handle_outputs(now, outputs, out);
             }
             AgentTimer::RetransmitSuccess(id) => self.retransmit_success(now, id, out),
+            AgentTimer::CheckExchange(exchange) => self.check_exchange(now, exchange, out),
         }
     }
 
@@ -253,6 +265,7 @@
         let mut outputs = std::mem::take(&mut self.pending_outputs);
         self.transactions.on_connection_failed(now, hop, failure, &mut outputs);
         self.handle_outputs(now, outputs, out);
+        self.exchange_connection_failed(now, hop, failure, out);
     }
 
     fn handle_outputs(&mut self, now: Time, mut outputs: Vec<TransactionOutput>, out: &mut Vec<AgentOutput>) {
--- a/src/sip/agent/exchanges.rs
+++ b/src/sip/agent/exchanges.rs
@@ -114,6 +114,7 @@
         }
         if let Some(dialog) = &side.dialog {
             self.attempts_by_dialog.remove(&dialog.id);
+            self.unwatch_call(side.exchange, &attempt.0);
         }
         if let Some(in_use) = self.circuits_in_use.get_mut(&side.exchange) {
             *in_use = in_use.saturating_sub(side.width);
@@ -130,6 +131,9 @@
         out: &mut Vec<AgentOutput>,
     ) {
         let status = message.status().unwrap_or(500);
+        if key.method == "OPTIONS" && status >= 200 {
+            return self.on_probe_response(now, key, status, out);
+        }
         if key.method != "INVITE" {
             return;
         }
@@ -212,8 +216,9 @@
         let Some(side) = self.exchange_sides.get_mut(&attempt) else { return };
         self.attempts_by_dialog.insert(dialog.id.clone(), attempt.clone());
         (side.dialog, side.ack) = (Some(dialog), Some(ack));
-        let (exchange, description) = (side.exchange, Arc::from(message.body));
+        let (exchange, width, description) = (side.exchange, side.width, Arc::from(message.body));
         let (id, leg) = attempt;
+        self.watch_call(now, exchange, id.clone(), width, out);
         out.push(AgentOutput::CallTable(CallEvent::Answered { id, exchange, leg: Some(leg), description }));
     }
 
@@ -223,6 +228,7 @@
         failure: TransactionFailure,
         out: &mut Vec<AgentOutput>,
     ) {
+        self.on_probe_failed(key);
         let Some((id, leg)) = self.attempts_by_client_key.get(key).cloned() else { return };
         let Some(exchange) = self.remove_exchange_side(&(id.clone(), leg), out) else { return };
         let end = match failure {
