--- a/src/net/roster.rs
+++ b/src/net/roster.rs
@@ -4,6 +4,8 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Poll;
 use std::time::{Duration, Instant};
 
 use serde::Deserialize;
@@ -19,8 +21,15 @@
 use crate::interface::*;
 use crate::telemetry;
 
-/// Discovery sends a line every second. A connection without a complete line for this long is replaced.
+/// Discovery sends a line every second. A connection without a complete line for this long is replaced; before its first
+/// line, another attempt begins beside it.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1800);
+/// Time in which discovery has to send its first line on a connection.
+const FIRST_LINE_TIMEOUT: Duration = Duration::from_secs(6);
+/// Attempts to get a first line that wait side by side.
+const MAX_ATTEMPTS: usize = 4;
+/// Bytes read per system call.
+const READ_CHUNK_BYTES: usize = 8192;
 /// Pause before a lost connection to discovery is opened again.
 const RECONNECT_DELAY: Duration = Duration::from_millis(100);
 /// The longest line accepted, in bytes.
@@ -245,6 +254,73 @@
     }
 }
 
+/// A connection to discovery on which the first line has arrived.
+struct Opened {
+    stream: TcpStream,
+    /// What was received, with at least one line.
+    received: Vec<u8>,
+}
+
+/// An attempt to get a first line from discovery.
+type Attempt = Pin<Box<dyn Future<Output = io::Result<Opened>>>>;
+
+/// Connects, asks for the events after this one, and waits for the first line.
+async fn open(addr: SocketAddr, last_event: u64) -> io::Result<Opened> {
+    let mut stream = TcpStream::connect(addr).await?;
+    stream.write_all(format!("after {last_event}\n").as_bytes()).await?;
+    let mut received = Vec::new();
+    let mut bytes = vec![0; READ_CHUNK_BYTES];
+    while !received.contains(&b'\n') {
+        match stream.read(&mut bytes).await? {
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            n => received.extend_from_slice(&bytes[..n]),
+        }
+        if received.len() > MAX_LINE_BYTES {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+    }
+    Ok(Opened { stream, received })
+}
+
+/// Waits until one of the attempts ends, and removes it.
+async fn next_ended(attempts: &mut Vec<Attempt>) -> io::Result<Opened> {
+    future::poll_fn(|context| {
+        for ix in 0..attempts.len() {
+            if let Poll::Ready(ended) = attempts[ix].as_mut().poll(context) {
+                drop(attempts.remove(ix));
+                return Poll::Ready(ended);
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
+/// Opens a connection on which discovery speaks. Discovery may be slow to its first line, and a connection may stay silent
+/// for ever: so further attempts begin while earlier ones wait, and the first line ends all others.
+async fn open_first(addr: SocketAddr, last_event: u64) -> io::Result<Opened> {
+    let mut attempts: Vec<Attempt> = Vec::new();
+    loop {
+        if attempts.len() < MAX_ATTEMPTS {
+            attempts.push(Box::pin(with_timeout(FIRST_LINE_TIMEOUT, open(addr, last_event))));
+        }
+        let ended = async { Some(next_ended(&mut attempts).await) };
+        let next_attempt = async {
+            Timer::after(SILENCE_TIMEOUT).await;
+            None
+        };
+        match future::or(ended, next_attempt).await {
+            Some(Ok(opened)) => return Ok(opened),
+            Some(Err(error)) if attempts.is_empty() => return Err(error),
+            Some(Err(error)) => {
+                tracing::debug!(%error, waiting = attempts.len(), "an attempt to reach discovery failed");
+                Timer::after(RECONNECT_DELAY).await;
+            }
+            None => {}
+        }
+    }
+}
+
 async fn follow_source(
     addr: SocketAddr,
     reader: &mut RosterReader,
@@ -252,27 +328,15 @@
     engine: &Sender<EngineMessage>,
     skip_unreadable: bool,
 ) -> Disconnect {
-    let connect = async {
-        let mut stream = with_timeout(SILENCE_TIMEOUT, TcpStream::connect(addr)).await?;
-        with_timeout(SILENCE_TIMEOUT, stream.write_all(format!("after {}\n", reader.last_event).as_bytes()))
-            .await?;
-        Ok(stream)
-    };
-    let mut stream = match unless_moved(sources, connect).await {
-        Ok(stream) => stream,
+    let opened = unless_moved(sources, open_first(addr, reader.last_event)).await;
+    let Opened { mut stream, received: mut buffer } = match opened {
+        Ok(opened) => opened,
         Err(disconnect) => return disconnect,
     };
-    let mut buffer = Vec::new();
-    let mut bytes = vec![0; 8192];
+    let mut bytes = vec![0; READ_CHUNK_BYTES];
     // Bytes that complete no line count as silence.
     let mut last_line = Instant::now();
     loop {
-        let remaining = SILENCE_TIMEOUT.saturating_sub(last_line.elapsed());
-        match unless_moved(sources, with_timeout(remaining, stream.read(&mut bytes))).await {
-            Ok(0) => return Disconnect::Lost(io::ErrorKind::UnexpectedEof.into()),
-            Ok(n) => buffer.extend_from_slice(&bytes[..n]),
-            Err(disconnect) => return disconnect,
-        }
         while let Some(end) = buffer.iter().position(|b| *b == b'\n') {
             let line: Vec<u8> = buffer.drain(..=end).collect();
             let line = String::from_utf8_lossy(&line);
@@ -291,5 +355,11 @@
         if buffer.len() > MAX_LINE_BYTES {
             return Disconnect::Lost(io::ErrorKind::InvalidData.into());
         }
+        let remaining = SILENCE_TIMEOUT.saturating_sub(last_line.elapsed());
+        match unless_moved(sources, with_timeout(remaining, stream.read(&mut bytes))).await {
+            Ok(0) => return Disconnect::Lost(io::ErrorKind::UnexpectedEof.into()),
+            Ok(n) => buffer.extend_from_slice(&bytes[..n]),
+            Err(disconnect) => return disconnect,
+        }
     }
 }
--- a/tests/sip_transactions.rs
+++ b/tests/sip_transactions.rs
@@ -254,7 +254,7 @@
         harness.run(|layer, now, out| {
             layer.send_request_with_fallback(now, contact, Some(source), sent, out);
         });
-        let mut fail = |harness: &mut Harness, port, failure| {
+        let fail = |harness: &mut Harness, port, failure| {
             harness.run(|layer, now, out| {
                 layer.on_connection_failed(now, hop(Transport::Tcp, port), failure, out)
             })
