--- a/src/logic.rs
+++ b/src/logic.rs
@@ -79,6 +79,8 @@
     /// The send time of the latest direct set-up that was established. The exchange answers direct set-ups in their
     /// order, so an earlier one without an answer is lost and says nothing about the wait.
     last_answered_sent_at: Time,
+    /// The overload level rests on the number of unanswered set-ups alone, and falls with it.
+    is_level_estimated: bool,
     /// Since when set-ups to the exchange have had no answer.
     silent_since: Option<Time>,
     /// Until when no set-up is sent.
@@ -208,6 +210,8 @@
     own_wait_samples: VecDeque<(Secs, Time)>,
     /// A result or report on the own processor has arrived since its overload level was last updated.
     own_has_new_sample: bool,
+    /// The own level rests on the number of unanswered set-ups alone, and falls with it.
+    is_own_level_estimated: bool,
     calls: BTreeMap<CallId, Call>,
     /// The running timers: for the next attempt of a call, or (`None`) for the next subscription to the roster.
     timers: BTreeMap<TimerToken, Option<CallId>>,
@@ -251,6 +255,7 @@
             own_overload: Overload::default(),
             own_wait_samples: VecDeque::new(),
             own_has_new_sample: false,
+            is_own_level_estimated: false,
             calls: BTreeMap::new(),
             timers: BTreeMap::new(),
             next_token: 0,
@@ -535,9 +540,20 @@
         let has_new_sample = std::mem::take(&mut self.own_has_new_sample) || unanswered_count > 0;
         match own_wait {
             Some(wait) if has_new_sample => {
-                self.own_overload.observe(wait.max(queue_wait), onset, self.tuning.abate, now)
+                let level_before = self.own_overload.level;
+                self.own_overload.observe(wait.max(queue_wait), onset, self.tuning.abate, now);
+                let is_shown = wait >= self.tuning.abate * onset;
+                let is_raised = self.own_overload.level > level_before;
+                self.is_own_level_estimated = !is_shown && (is_raised || self.is_own_level_estimated);
+            }
+            _ if queue_wait >= onset => {
+                self.own_overload.observe(queue_wait, onset, self.tuning.abate, now);
+                self.is_own_level_estimated = true;
+            }
+            _ if self.is_own_level_estimated => {
+                self.own_overload.observe(queue_wait, onset, self.tuning.abate, now);
+                self.is_own_level_estimated = self.own_overload.level > 0;
             }
-            _ if queue_wait >= onset => self.own_overload.observe(queue_wait, onset, self.tuning.abate, now),
             _ => self.own_overload.decay(self.tuning.quiet_aims * self.shortest_target, now),
         }
         own_wait.unwrap_or(0.0)
@@ -553,16 +569,24 @@
         let measured =
             exchange.measured_wait(now, active_clock, lifetime).map(|delay| (delay - own_wait).max(0.0));
         let queue_wait = exchange.awaiting_answer().count() as f64 * set_up_time;
-        let unanswered_wait =
-            (exchange.oldest_age(active_clock) - exchange.min_delay.unwrap_or(0.0) - own_wait)
-                .max(queue_wait);
-        let wait =
-            exchange.recent_reported_wait(now, lifetime).or(measured).map(|wait| wait.max(unanswered_wait));
+        let age_wait = exchange.oldest_age(active_clock) - exchange.min_delay.unwrap_or(0.0) - own_wait;
+        let unanswered_wait = age_wait.max(queue_wait);
+        let shown_wait = exchange.recent_reported_wait(now, lifetime).or(measured);
+        let wait = shown_wait.map(|wait| wait.max(unanswered_wait));
         let has_new_sample = std::mem::take(&mut exchange.has_new_sample);
         // Without a new sample, only unanswered set-ups can show an overload.
         match wait {
             Some(wait) if has_new_sample || wait >= onset && unanswered_wait >= wait => {
+                let level_before = exchange.overload.level;
                 exchange.overload.observe(wait, onset, self.tuning.abate, now);
+                let is_shown = shown_wait.is_some_and(|wait| wait.max(age_wait) >= self.tuning.abate * onset);
+                let is_raised = exchange.overload.level > level_before;
+                exchange.is_level_estimated = !is_shown && (is_raised || exchange.is_level_estimated);
+            }
+            // Their callers have withdrawn the set-ups before these had waited: they show no wait.
+            _ if exchange.is_level_estimated => {
+                exchange.overload.observe(unanswered_wait.max(0.0), onset, self.tuning.abate, now);
+                exchange.is_level_estimated = exchange.overload.level > 0;
             }
             _ => exchange.overload.decay(self.tuning.far_quiet_aims * target, now),
         }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -273,3 +273,37 @@
     let mut harness = ControllerHarness::new(settings);
     assert!(matches!(harness.place_call(OWN_NUMBER).1[..], [Action::Refuse { cool_down: None, .. }]));
 }
+
+/// Guards against a client that withdraws many set-ups at once and so refuses the calls of others for seconds: a number of
+/// unanswered set-ups is an estimate, and lapses with them if none of them has waited.
+#[test]
+fn set_ups_that_are_withdrawn_at_once_leave_no_overload_level() {
+    for destinations in [1, 3] {
+        let mut harness = ControllerHarness::new(settings());
+        (1..5).for_each(|number| harness.report_circuits(number, 1000.0, 1000.0));
+        for number in 1..5 {
+            let (id, _) = harness.place_call(number);
+            harness.now += 0.1;
+            harness.establish(&id, 0, number, 0.1);
+        }
+        let mut open = Vec::new();
+        for n in 0..100 {
+            let (id, actions) = harness.place_call(1 + n % destinations);
+            open.extend(sent_to(&actions).map(|_| id));
+        }
+        assert!((2..100).contains(&open.len()), "some are refused, as many are open: {}", open.len());
+        harness.now += 0.05;
+        for id in open {
+            harness.handle(Event::Withdrawn(id));
+        }
+        harness.now += 0.05;
+        let mut refused = 0;
+        for _ in 0..20 {
+            let (id, actions) = harness.place_call(1);
+            refused += u32::from(is_refused(&actions));
+            harness.now += 0.1;
+            harness.establish(&id, 0, 1, 0.1);
+        }
+        assert_eq!(refused, 0, "{destinations}");
+    }
+}
